Read server answers strictly: a header line without a colon is a broken answer

Netty's response decoder ends a header name at white space and then no longer requires the colon, so 'no colon here' became an empty header and the answer was served. Ruled out: bodies crossed between connections (each passed-on body was the one read for that request), 1xx before the answer (57, served unchanged), odd load reports.

AnswerDecoder also refuses white space before the colon, empty names, statuses that are not three digits; other transfer codings and an unasked 101 count as broken. Discovery's answers are read by it as well.

--- a/src/main/java/cedarrelay/node/Discovery.java
+++ b/src/main/java/cedarrelay/node/Discovery.java
@@ -17,10 +17,10 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
@@ -100,8 +100,8 @@
                     .handler(new ChannelInitializer<SocketChannel>() {
                         @Override
                         protected void initChannel(SocketChannel to) {
-                            to.pipeline().addLast(new HttpClientCodec(MAX_LINE, MAX_HEADERS, 8_192),
-                                    Watch.this);
+                            to.pipeline().addLast(new HttpRequestEncoder(),
+                                    new AnswerDecoder(MAX_LINE, MAX_HEADERS), Watch.this);
                         }
                     }).connect(address).addListener(done -> {
                         if (done.isSuccess()) {
--- a/src/main/java/cedarrelay/node/ServerPool.java
+++ b/src/main/java/cedarrelay/node/ServerPool.java
@@ -25,10 +25,12 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -218,7 +220,7 @@
             @Override
             protected void initChannel(SocketChannel fresh) {
                 fresh.pipeline().addLast(connection.new IdleGuard(),
-                        new HttpClientCodec(MAX_LINE, MAX_HEADERS, 8_192), connection);
+                        new HttpRequestEncoder(), new AnswerDecoder(MAX_LINE, MAX_HEADERS), connection);
             }
         }).connect(server.address).addListener(done -> {
             if (!done.isSuccess()) {
@@ -349,7 +351,7 @@
                 return;
             }
             if (message instanceof HttpResponse response) {
-                if (response.decoderResult().isFailure()) {
+                if (response.decoderResult().isFailure() || isCodedUnread(response)) {
                     broken();
                     return;
                 }
@@ -373,6 +375,13 @@
             }
         }
 
+        /** Whether its body is in a form that is not read here, or it leaves HTTP/1.1, which nobody asked. */
+        private boolean isCodedUnread(HttpResponse response) {
+            return response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)
+                    || response.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING).stream()
+                            .anyMatch(coding -> !HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(coding));
+        }
+
         private void whole() {
             if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
                 head = null;
--- a/src/test/java/cedarrelay/node/ServerPoolTest.java
+++ b/src/test/java/cedarrelay/node/ServerPoolTest.java
@@ -147,6 +147,20 @@
         assertEquals(Result.RESET, outcome(FakePeer.raw("HELLO THERE\r\n\r\n")).result());
     }
 
+    @Test
+    void aHeadThatHasToBeGuessedAtIsNoAnswer() throws Exception {
+        String end = "Content-Length: 5\r\n\r\nhello";
+        for (String head : List.of("HTTP/1.1 200 OK\r\nno colon here\r\n",
+                "HTTP/1.1 200 OK\r\nnocolon\r\n", "HTTP/1.1 200 OK\r\nX-Spaced : 1\r\n",
+                "HTTP/1.1 200 OK\r\n: no name\r\n", "HTTP/1.1 200 OK\r\n folded: first\r\n",
+                "HTTP/1.1 +200 OK\r\n", "HTTP/1.1 00200 OK\r\n", "HTTP/2.0 200 OK\r\n",
+                "HTTP/1.1 2x0 OK\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n",
+                "HTTP/1.1 101 On\r\n\r\nHTTP/1.1 200 OK\r\n")) {
+            assertEquals(Result.RESET, outcome(FakePeer.raw(head + end)).result(), head);
+        }
+    }
+
     @Test
     void noConnectionIsNeverRan() throws Exception {
         int port;
