Answer rehearsed requests locally for good, so that none reaches a server

The token now holds for the process's life. Ruled out: the rehearsal's own node sending to servers (its list names only itself).

--- a/src/main/java/cedarrelay/node/ClientServer.java
+++ b/src/main/java/cedarrelay/node/ClientServer.java
@@ -99,14 +99,16 @@
                 new Connection(pipeline.channel()));
     }
 
-    /** Requests with this token are part of the rehearsal and answered here. */
+    /**
+     * Requests with this token are part of the rehearsal and answered here, also after its end: one that
+     * was cut short has some on their way still, and no server may see them.
+     */
     void setRehearsal(String token) {
         rehearsal = token;
     }
 
-    /** From now on {@code /ready} says so; the rehearsal is over. */
+    /** From now on {@code /ready} says so. */
     void setReady() {
-        rehearsal = null;
         ready = true;
     }
 
--- a/src/test/java/cedarrelay/node/NodeTest.java
+++ b/src/test/java/cedarrelay/node/NodeTest.java
@@ -11,6 +11,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
@@ -264,6 +265,19 @@
         assertEquals(1, first.requests.size());
     }
 
+    @Test
+    void aRehearsedRequestThatComesAfterItsEndReachesNoServer() throws Exception {
+        JsonObject json = Fixture.config(discovery, first);
+        client = connect(start(json));
+        long seed = Long.parseUnsignedLong(json.get("seed").getAsString(), 16);
+        String token = Long.toHexString(new SplittableRandom(seed).nextLong());
+        String answer = ask(Fixture.request("GET", "/view", 1, Rehearsal.HEADER + ": " + token + "\r\n", ""));
+        assertTrue(answer.endsWith("rehearsed\n"), answer);
+        assertEquals(200, status(ask(Fixture.request("GET", "/view", 2, "", ""))));
+        assertEquals("0000000000000002", FakePeer.header(first.nextRequest(), "X-Txn"));
+        assertTrue(first.requests.isEmpty());
+    }
+
     @Test
     void anIdInHandIsNotTakenTwice() throws Exception {
         first.script(FakePeer.SILENT);
