Take SIGHUP: read the configuration again and move the watch on the list

A JVM ends on SIGHUP unless the program asks for the signal, so a node whose configuration the platform replaced ran its shutdown hook and left ('crashed: exited with 0'). Ruled out by the exit code and the log: memory, an uncaught fault, a kill; no restart was planned by then.

A good file moves the watch to its discovery address, from the version held; a bad one costs one line and changes nothing. Operators' lines stay on one line, under the program's name.

--- a/src/main/java/cedarrelay/node/Config.java
+++ b/src/main/java/cedarrelay/node/Config.java
@@ -5,6 +5,7 @@
 import java.nio.file.Files;
 import java.nio.file.InvalidPathException;
 import java.nio.file.Path;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -44,6 +45,13 @@
         return parse(text, environment);
     }
 
+    /** Reads a file that has been replaced: there the address of discovery is newer than the variable's. */
+    static Config reread(Map<String, String> environment) {
+        Map<String, String> changed = new HashMap<>(environment);
+        changed.remove("LB_DISCOVERY");
+        return read(changed);
+    }
+
     static Config parse(String text, Map<String, String> environment) {
         JsonObject json;
         try {
--- a/src/main/java/cedarrelay/node/Discovery.java
+++ b/src/main/java/cedarrelay/node/Discovery.java
@@ -47,9 +47,9 @@
     }
 
     private final EventLoop loop;
-    private final InetSocketAddress address;
     private final Listener listener;
     private final long silentMs;
+    private InetSocketAddress address;
     private long revision;
     private Watch watch;
 
@@ -70,6 +70,16 @@
         watch.open();
     }
 
+    /** From now on the list is told at this address; a watch that is open goes on there. */
+    void move(InetSocketAddress to) {
+        if (!to.equals(address)) {
+            address = to;
+            if (watch != null) {
+                subscribe();
+            }
+        }
+    }
+
     void close() {
         if (watch != null) {
             watch.close();
--- a/src/main/java/cedarrelay/node/Main.java
+++ b/src/main/java/cedarrelay/node/Main.java
@@ -1,5 +1,6 @@
 package cedarrelay.node;
 
+import java.lang.reflect.Proxy;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -48,6 +49,7 @@
             return;
         }
         Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(node, loop), "stop"));
+        onHangUp(() -> reload(node, loop));
         loop.execute(() -> node.start(group, REHEARSED, () -> { }).addListener(done -> {
             if (!done.isSuccess()) {
                 exit("can't listen: " + done.cause().getMessage(), 1);
@@ -61,12 +63,48 @@
         group.next().execute(() -> node.start(group, REHEARSED, group::shutdownGracefully));
     }
 
+    /** One line, whatever the reason holds. */
+    private static void say(String reason) {
+        System.err.println("tansypass: " + reason.replaceAll("\\s*\\R\\s*", " "));
+    }
+
     private static void exit(String reason, int code) {
-        System.err.println("vetchpost: " + reason);
+        say(reason);
         // No orderly stop: there is nothing to answer, and the hook would wait for it.
         Runtime.getRuntime().halt(code);
     }
 
+    /**
+     * Takes SIGHUP, which ends a Java program that does not ask for it. Java has no public name for that:
+     * by reflection, since the compiler's warning on the class that does it can't be turned off.
+     */
+    private static void onHangUp(Runnable action) {
+        try {
+            Class<?> signal = Class.forName("sun.misc.Signal");
+            Class<?> handler = Class.forName("sun.misc.SignalHandler");
+            Object taken = Proxy.newProxyInstance(Main.class.getClassLoader(), new Class<?>[] {handler},
+                    (proxy, method, arguments) -> {
+                        action.run();
+                        return null;
+                    });
+            signal.getMethod("handle", signal, handler)
+                    .invoke(null, signal.getConstructor(String.class).newInstance("HUP"), taken);
+        } catch (ReflectiveOperationException | IllegalArgumentException e) {
+            // Still fit for service, but a changed configuration then ends it: on-call has to know.
+            say("SIGHUP can't be taken: " + e);
+        }
+    }
+
+    /** A configuration that can't be used must not cost the one in use. */
+    private static void reload(Node node, EventLoop loop) {
+        try {
+            Config changed = Config.reread(System.getenv());
+            loop.execute(() -> node.reload(changed));
+        } catch (IllegalArgumentException e) {
+            say("configuration not taken, the old one stays: " + e.getMessage());
+        }
+    }
+
     /** Runs as the shutdown hook of SIGTERM; halting from it is what makes the exit code 0. */
     private static void stop(Node node, EventLoop loop) {
         CountDownLatch done = new CountDownLatch(1);
--- a/src/main/java/cedarrelay/node/Node.java
+++ b/src/main/java/cedarrelay/node/Node.java
@@ -205,6 +205,12 @@
         pool.close();
     }
 
+    /** Takes up what may change while it runs, the address of discovery; all else holds until a restart. */
+    void reload(Config changed) {
+        LOG.log(Level.INFO, "configuration read again; discovery at {0}", changed.discovery());
+        discovery.move(changed.discovery());
+    }
+
     /** Stops taking requests after a while and runs {@code done} as soon as all are answered. */
     void stop(Runnable done) {
         clients.drain();
--- a/src/test/java/cedarrelay/node/MainTest.java
+++ b/src/test/java/cedarrelay/node/MainTest.java
@@ -2,8 +2,10 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertSame;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.BufferedReader;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
@@ -124,6 +126,39 @@
         assertEquals(0, process.exitValue());
     }
 
+    @Test
+    void sighupMovesTheWatchAndABadFileChangesNothing() throws Exception {
+        JsonObject config = Fixture.config(discovery, server);
+        config.addProperty("listen", "127.0.0.1:" + port);
+        config.getAsJsonObject("settings").addProperty("membershipMode", "pushed");
+        Path file = Fixture.write(config);
+        run(file.toString(), "export LB_DISCOVERY=" + discovery.address() + "; ");
+        await("/ready");
+        assertTrue(discovery.nextRequest().contains("after=41 "));
+        Socket old = FakePeer.soon(discovery.accepted);
+        Files.writeString(file, "{");
+        hangUp();
+        BufferedReader said = process.inputReader(StandardCharsets.UTF_8);
+        String line = said.readLine();
+        while (!line.contains("the old one stays")) {
+            line = said.readLine();
+        }
+        try (FakePeer moved = new FakePeer(FakePeer.SILENT)) {
+            config.addProperty("discovery", moved.address());
+            Files.writeString(file, config.toString());
+            hangUp();
+            assertTrue(moved.nextRequest().contains("after=41 "));
+            assertSame(old, FakePeer.soon(discovery.ended));
+            Socket client = connect();
+            FakePeer.write(client, Fixture.request("GET", "/view", 1, "", ""));
+            assertTrue(FakePeer.read(client).startsWith("HTTP/1.1 200"), "not served afterwards");
+        }
+    }
+
+    private void hangUp() throws Exception {
+        assertEquals(0, new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor());
+    }
+
     @Test
     void itSurvivesRunningOutOfDescriptors() throws Exception {
         // The configuration promises more than the system gives.
@@ -161,7 +196,7 @@
         JsonObject noClasses = Fixture.config(discovery, server);
         noClasses.getAsJsonObject("settings").remove("classes");
         Path broken = Files.createTempFile("node", ".json");
-        Files.writeString(broken, "{");
+        Files.writeString(broken, "{\"seed\":}");
         rejected(null, "LB_CONFIG");
         rejected("/nowhere/config.json", "LB_CONFIG");
         rejected(broken.toString(), "JSON");
