Hold clients to a third of the descriptors, as the platform's terms say

Clients could take three quarters of what is not kept back: 144 of 256. Connections to servers then had to be closed and opened anew under load. The bound is now limit / 3 (85 of 256, 341 of 1,024).

--- a/src/main/java/cedarrelay/node/Sockets.java
+++ b/src/main/java/cedarrelay/node/Sockets.java
@@ -10,8 +10,8 @@
     /** Descriptors kept back: the runtime's own files and selector, the listening socket, discovery, and
      * those that a close has not given back yet. */
     static final int RESERVE = 64;
-    /** Clients may take this share of the rest: what they ask for needs connections to servers. */
-    private static final double CLIENTS_SHARE = 0.75;
+    /** Clients may hold one of so many descriptors: the platform's terms. */
+    private static final int CLIENTS_PART = 3;
 
     private final int most;
     private final int mostClients;
@@ -23,7 +23,8 @@
 
     Sockets(int limit) {
         most = Math.max(2, limit - RESERVE);
-        mostClients = Math.max(1, (int) (CLIENTS_SHARE * most));
+        // Under a small limit what is kept back weighs more: servers still need a connection or two.
+        mostClients = Math.max(1, Math.min(limit / CLIENTS_PART, most * 3 / 4));
     }
 
     /** How to close an idle connection of the client side, and what to do when there is room again. */
