End connections whose request does not come within 2 s

Anyone may connect, and nothing ended a connection that sent nothing, or part of a request: it was owed an error or a close within 3 s and held a descriptor until its peer left. No client's request takes so long; idle connections that have carried a request, and held ones, are left alone.

--- a/src/main/java/cedarrelay/node/ClientServer.java
+++ b/src/main/java/cedarrelay/node/ClientServer.java
@@ -55,6 +55,10 @@
     private static final long ACCEPT_AGAIN_MS = 50;
     /** How long a client may take to read the reason why its connection is closed. */
     private static final long LINGER_MS = 1_000;
+    /** How long a connection may take to its first request, and a request to come whole. No client's does:
+     * it would have given up. */
+    private static final long REQUEST_WITHIN_MS = 2_000;
+    private static final long SWEEP_MS = 250;
     private static final String READY = "/ready";
 
     private final EventLoop loop;
@@ -90,13 +94,15 @@
                     }
                 }).bind(address);
         listening = binding.channel();
+        loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
         return binding;
     }
 
     /** Sets up a client's connection. */
     void open(ChannelPipeline pipeline) {
-        pipeline.addLast(new HttpServerCodec(MAX_LINE, MAX_HEADERS, 8_192), new BodyReader(),
-                new Connection(pipeline.channel()));
+        Connection connection = new Connection(pipeline.channel());
+        pipeline.addLast(connection.new ByteWatch(), new HttpServerCodec(MAX_LINE, MAX_HEADERS, 8_192),
+                new BodyReader(), connection);
     }
 
     /**
@@ -129,6 +135,16 @@
         return connections.isEmpty();
     }
 
+    /** Ends connections whose request does not come: anyone may connect, and send nothing or half. */
+    private void sweep() {
+        long now = System.nanoTime();
+        for (Connection connection : new ArrayList<>(connections)) {
+            if (connection.isOverdue(now)) {
+                connection.reject(new BadRequest(HttpResponseStatus.REQUEST_TIMEOUT, "no whole request"));
+            }
+        }
+    }
+
     private boolean closeOldestIdle() {
         for (Connection connection : connections) {
             if (connection.isIdle()) {
@@ -275,6 +291,9 @@
         private Exchange held;
         private int unwritten;
         private boolean ending;
+        /** Whether a request is awaited: the first one, or the rest of one; and since when. */
+        private boolean awaited;
+        private long awaitedSince;
 
         Connection(Channel channel) {
             this.channel = channel;
@@ -284,6 +303,18 @@
             return held == null && unwritten == 0 && ahead.isEmpty();
         }
 
+        boolean isOverdue(long now) {
+            return awaited && !ending && isIdle()
+                    && now - awaitedSince >= TimeUnit.MILLISECONDS.toNanos(REQUEST_WITHIN_MS);
+        }
+
+        private void await() {
+            if (!awaited) {
+                awaited = true;
+                awaitedSince = System.nanoTime();
+            }
+        }
+
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
             sockets.addClient();
@@ -291,6 +322,7 @@
                 pauseAccepting();
             }
             connections.add(this);
+            await();
         }
 
         @Override
@@ -315,6 +347,7 @@
                 ReferenceCountUtil.release(message);
                 return;
             }
+            awaited = false;
             connections.remove(this);
             connections.add(this);
             if (held != null || !ahead.isEmpty()) {
@@ -441,5 +474,14 @@
                 channel.close();
             }
         }
+
+        /** Sees bytes before the codec does, which tells of a request only once its head is whole. */
+        private final class ByteWatch extends ChannelInboundHandlerAdapter {
+            @Override
+            public void channelRead(ChannelHandlerContext ctx, Object message) {
+                await();
+                ctx.fireChannelRead(message);
+            }
+        }
     }
 }
--- a/src/test/java/cedarrelay/node/NodeTest.java
+++ b/src/test/java/cedarrelay/node/NodeTest.java
@@ -278,6 +278,31 @@
         assertTrue(first.requests.isEmpty());
     }
 
+    @Test
+    void whoSendsNoWholeRequestIsToldSoAndOthersAreLeftAlone() throws Exception {
+        first.script(FakePeer.SILENT);
+        int port = start(Fixture.config(discovery, first));
+        try (Socket kept = connect(port); Socket held = connect(port)) {
+            FakePeer.write(kept, "GET /ready HTTP/1.1\r\n\r\n");
+            assertEquals(200, status(FakePeer.read(kept)));
+            FakePeer.write(held, Fixture.request("POST", "/order", 1, "", "x"));
+            Socket attempt = FakePeer.soon(first.accepted);
+            first.nextRequest();
+            for (String part : List.of("", "GET /vi", "GET /view HTTP/1.1\r\nX-Txn: 00",
+                    Fixture.request("POST", "/order", 2, "", "half").replace("half", "h"))) {
+                client = connect(port);
+                assertEquals(408, status(ask(part)), part);
+                assertNull(FakePeer.read(client), part);
+                client.close();
+            }
+            // Those have waited longer than all of the above.
+            FakePeer.write(kept, "GET /ready HTTP/1.1\r\n\r\n");
+            assertEquals(200, status(FakePeer.read(kept)));
+            FakePeer.write(attempt, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+            assertEquals(200, status(FakePeer.read(held)));
+        }
+    }
+
     @Test
     void anIdInHandIsNotTakenTwice() throws Exception {
         first.script(FakePeer.SILENT);
