Rehearse 300 requests, so that the code is compiled before clients come

The JVM looks at a method's calls every 128 and compiles past 200, that is at the 256th; 100 rehearsed requests left the hot path interpreted.

Undone: sooner compilation, patient aims.

--- a/src/main/java/cedarrelay/node/Main.java
+++ b/src/main/java/cedarrelay/node/Main.java
@@ -17,8 +17,11 @@
     /** Past the longest wait for an answer: then there is nothing left worth waiting for. */
     private static final long STOP_WITHIN_MS = 3_650;
 
-    /** Enough for all classes to be loaded; more make the first answers quicker but the node come later. */
-    private static final int REHEARSED = 100;
+    /**
+     * Enough for the code that each request runs to be compiled: the interpreter looks at a method's calls
+     * every 128, and asks for its compilation past 200. More would only make the node come later.
+     */
+    static final int REHEARSED = 300;
     private static final String EXAMPLE = """
             {"listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"1","limits":{"sockets":1024},
              "known":{"rev":1,"all":true,"targets":[{"uid":"s","endpoint":"127.0.0.1:1","az":"a",
--- a/src/main/java/cedarrelay/node/Node.java
+++ b/src/main/java/cedarrelay/node/Node.java
@@ -50,7 +50,7 @@
     private static final long ACCEPT_WHILE_STOPPING_MS = 600;
     private static final long DONE_CHECK_MS = 5;
     /** A rehearsal cut short is better than a node that stays away: a slow machine gets this far. */
-    private static final long REHEARSE_MS = 1_500;
+    private static final long REHEARSE_MS = 2_500;
 
     private final Config config;
     private final EventLoop loop;
--- /dev/null
+++ b/src/test/java/cedarrelay/node/RehearsalTest.java
@@ -0,0 +1,46 @@
+package cedarrelay.node;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.lang.management.ManagementFactory;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+
+import com.sun.management.HotSpotDiagnosticMXBean;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** What a node does before it says that it is ready. */
+@Timeout(120)
+class RehearsalTest {
+    private static final HotSpotDiagnosticMXBean JVM =
+            ManagementFactory.getPlatformMXBean(HotSpotDiagnosticMXBean.class);
+
+    @Test
+    void whatEveryRequestRunsIsCalledOftenEnoughToBeCompiled() throws Exception {
+        EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        EventLoop loop = group.next();
+        try (FakePeer discovery = new FakePeer(FakePeer.SILENT);
+                FakePeer self = new FakePeer(FakePeer.answer("200 OK", "", "rehearsed"))) {
+            Config config = Config.parse(Fixture.config(discovery).toString(), Map.of());
+            CountDownLatch done = new CountDownLatch(1);
+            loop.execute(() -> new Rehearsal(loop, config, ServerList.address(self.address()), "token",
+                    Main.REHEARSED, TimeUnit.SECONDS.toMillis(60), done::countDown).run());
+            assertTrue(done.await(60, TimeUnit.SECONDS), "never over");
+            int look = 1 << flag("Tier0InvokeNotifyFreqLog");
+            int needed = look * (flag("Tier3InvocationThreshold") / look + 1);
+            assertTrue(self.requests.size() >= needed, self.requests.size() + " calls of " + needed);
+        } finally {
+            group.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
+        }
+    }
+
+    private static int flag(String name) {
+        return Integer.parseInt(JVM.getVMOption(name).getValue());
+    }
+}
