--- a/src/main/java/cedarrelay/node/ClientServer.java
+++ b/src/main/java/cedarrelay/node/ClientServer.java
@@ -27,6 +27,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -462,7 +463,8 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            if (cause instanceof IOException) {
+            // The client has gone, in the middle of a request perhaps: that is its right.
+            if (cause instanceof IOException || cause instanceof PrematureChannelClosureException) {
                 channel.close();
                 return;
             }
--- a/src/test/java/cedarrelay/node/NodeTest.java
+++ b/src/test/java/cedarrelay/node/NodeTest.java
@@ -12,8 +12,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.logging.Handler;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
+import java.util.logging.StreamHandler;
 
 import com.google.gson.JsonObject;
 import io.netty.channel.Channel;
@@ -303,6 +309,31 @@
         }
     }
 
+    @Test
+    void aClientThatLeavesInTheMiddleOfARequestIsNoFaultOfTheNode() throws Exception {
+        BlockingQueue<LogRecord> logged = new LinkedBlockingQueue<>();
+        Handler handler = new StreamHandler() {
+            @Override
+            public synchronized void publish(LogRecord line) {
+                logged.add(line);
+            }
+        };
+        Logger logger = Logger.getLogger(ClientServer.class.getName());
+        logger.addHandler(handler);
+        try {
+            int port = start(Fixture.config(discovery, first));
+            client = connect(port);
+            FakePeer.write(client, Fixture.request("POST", "/order", 1, "", "half").replace("half", "h"));
+            client.close();
+            client = connect(port);
+            // The loop has seen the end of the first connection by the time it answers on the second.
+            assertEquals(200, status(ask(Fixture.request("GET", "/view", 2, "", ""))));
+            assertEquals(List.of(), List.copyOf(logged));
+        } finally {
+            logger.removeHandler(handler);
+        }
+    }
+
     @Test
     void anIdInHandIsNotTakenTwice() throws Exception {
         first.script(FakePeer.SILENT);
