--- a/src/main/java/cedarrelay/Balancer.java
+++ b/src/main/java/cedarrelay/Balancer.java
@@ -42,6 +42,12 @@
     /** The time asked for with {@link Actions#wakeAt} has come. */
     void onWake(long nowUs);
 
+    /** How many servers the list holds, those that drain included. */
+    int listed();
+
+    /** How many of them are avoided now: they get nothing, or trials only. */
+    int avoided();
+
     /** What the module asks of its node. Calls take effect in order, at the time of the event. */
     interface Actions {
         /** Start the next attempt of a request (numbered 0, 1, 2 ...), to be given up at {@code untilUs}. */
--- a/src/main/java/cedarrelay/ServiceQBalancer.java
+++ b/src/main/java/cedarrelay/ServiceQBalancer.java
@@ -669,6 +669,16 @@
         }
     }
 
+    @Override
+    public int listed() {
+        return listed.size();
+    }
+
+    @Override
+    public int avoided() {
+        return listed.size() - ready.length + ejectedServers;
+    }
+
     private static boolean isCounted(Server server) {
         return server.state == ServerState.READY && !server.ejected;
     }
--- a/src/main/java/cedarrelay/node/ClientServer.java
+++ b/src/main/java/cedarrelay/node/ClientServer.java
@@ -65,19 +65,21 @@
     private final EventLoop loop;
     private final Sockets sockets;
     private final ClientRequest.Reader reader;
+    private final Lifecycle lifecycle;
+    private final Figures figures;
     private final Consumer<Exchange> taker;
     /** Open connections; those heard from most recently last. */
     private final Set<Connection> connections = new LinkedHashSet<>();
     private Channel listening;
     private String rehearsal;
-    private boolean ready;
-    private boolean draining;
-    private boolean closing;
 
-    ClientServer(EventLoop loop, Sockets sockets, ClientRequest.Reader reader, Consumer<Exchange> taker) {
+    ClientServer(EventLoop loop, Sockets sockets, ClientRequest.Reader reader, Lifecycle lifecycle,
+            Figures figures, Consumer<Exchange> taker) {
         this.loop = loop;
         this.sockets = sockets;
         this.reader = reader;
+        this.lifecycle = lifecycle;
+        this.figures = figures;
         this.taker = taker;
         sockets.clientSide(this::closeOldestIdle, this::acceptAgain);
     }
@@ -114,19 +116,8 @@
         rehearsal = token;
     }
 
-    /** From now on {@code /ready} says so. */
-    void setReady() {
-        ready = true;
-    }
-
-    /** Every answer from here on closes its connection; new connections are still taken. */
-    void drain() {
-        draining = true;
-    }
-
     /** No new connections, and none is kept that owes no answer. */
     void stopAccepting() {
-        closing = true;
         listening.close();
         new ArrayList<>(connections).stream().filter(Connection::isIdle).forEach(c -> c.channel.close());
     }
@@ -265,7 +256,14 @@
                 return;
             }
             answered = true;
-            connection.answer(response, keepAlive);
+            Figures.End end = Figures.End.of(response.status());
+            connection.answer(response, keepAlive).addListener(written -> {
+                if (written.isSuccess()) {
+                    figures.ended(request.classIndex(), end);
+                } else {
+                    figures.abandoned();
+                }
+            });
         }
     }
 
@@ -337,6 +335,7 @@
                 Exchange left = held;
                 held = null;
                 left.answered = true;
+                figures.abandoned();
                 left.whenGone.run();
             }
         }
@@ -376,6 +375,7 @@
                 }
                 Exchange exchange = new Exchange(this, reader.read(http), arrivedNs, keepAlive);
                 held = exchange;
+                figures.taken();
                 taker.accept(exchange);
             } catch (BadRequest e) {
                 answer(bad(e), HttpUtil.isKeepAlive(http));
@@ -388,8 +388,8 @@
             if (!http.method().equals(HttpMethod.GET)) {
                 return bad(new BadRequest(HttpResponseStatus.METHOD_NOT_ALLOWED, "use GET"));
             }
-            return ready && !draining ? plain(HttpResponseStatus.OK, "ready")
-                    : plain(HttpResponseStatus.SERVICE_UNAVAILABLE, draining ? "stopping" : "starting");
+            return plain(lifecycle.isTaking() ? HttpResponseStatus.OK
+                    : HttpResponseStatus.SERVICE_UNAVAILABLE, lifecycle.state().toString());
         }
 
         private FullHttpResponse bad(BadRequest e) {
@@ -429,23 +429,21 @@
             });
         }
 
-        void answer(FullHttpResponse response, boolean keepAlive) {
+        ChannelFuture answer(FullHttpResponse response, boolean keepAlive) {
             held = null;
-            boolean keep = keepAlive && !ending && (!draining || !ahead.isEmpty());
+            boolean keep = keepAlive && !ending && (!lifecycle.isLeaving() || !ahead.isEmpty());
             unwritten++;
             ChannelFuture writing = channel.writeAndFlush(keep ? response : closing(response));
             writing.addListener(written -> unwritten--);
             if (!keep) {
                 ending = true;
-                writing.addListener(ChannelFutureListener.CLOSE);
-                return;
+                return writing.addListener(ChannelFutureListener.CLOSE);
             }
             if (!ahead.isEmpty()) {
                 // Later, not from here: a long line of requests that can't be taken would go as deep.
                 loop.execute(this::takeAhead);
-            } else if (closing) {
-                channel.close();
             }
+            return writing;
         }
 
         private void takeAhead() {
--- a/src/main/java/cedarrelay/node/Config.java
+++ b/src/main/java/cedarrelay/node/Config.java
@@ -21,11 +21,12 @@
 /**
  * What a node is told at its start, checked.
  *
+ * @param admin where operators call, or null if nowhere
  * @param sockets descriptors that the process may hold
  * @param connIdleUs servers close connections that have stood idle for so long
  */
-record Config(InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
-        long connIdleUs, Settings settings, ServerList known) {
+record Config(InetSocketAddress listen, InetSocketAddress discovery, InetSocketAddress admin, long seed,
+        int sockets, long connIdleUs, Settings settings, ServerList known) {
 
     private static final int DEFAULT_SOCKETS = 1_024;
     private static final String DEFAULT_IDLE_US = "15000000";
@@ -64,9 +65,14 @@
         ServerList known = json.has("known") ? ServerList.of(json.get("known"))
                 : new ServerList(0, true, List.of());
         return new Config(ServerList.address(text(environment, "LB_LISTEN", json, "listen")),
-                ServerList.address(text(environment, "LB_DISCOVERY", json, "discovery")), seed(json),
-                sockets(json), whole(values.getOrDefault("limits.connIdleUs", DEFAULT_IDLE_US)), settings,
-                known);
+                ServerList.address(text(environment, "LB_DISCOVERY", json, "discovery")),
+                admin(environment, json), seed(json), sockets(json),
+                whole(values.getOrDefault("limits.connIdleUs", DEFAULT_IDLE_US)), settings, known);
+    }
+
+    private static InetSocketAddress admin(Map<String, String> environment, JsonObject json) {
+        boolean told = !environment.getOrDefault("LB_ADMIN", "").isEmpty() || json.has("admin");
+        return told ? ServerList.address(text(environment, "LB_ADMIN", json, "admin")) : null;
     }
 
     private static JsonObject object(JsonObject in, String name) {
--- /dev/null
+++ b/src/main/java/cedarrelay/node/Figures.java
@@ -0,0 +1,93 @@
+package cedarrelay.node;
+
+import java.util.List;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicLongArray;
+
+import io.netty.handler.codec.http.HttpResponseStatus;
+
+/** What this process has done since its start. The node's loop counts; any thread may read. */
+final class Figures {
+
+    /** How a request ended for its client. */
+    enum End {
+        SERVED, REFUSED, FAILED;
+
+        static End of(HttpResponseStatus status) {
+            return switch (status.code()) {
+                case 200 -> SERVED;
+                case 429, 503 -> REFUSED;
+                default -> FAILED;
+            };
+        }
+    }
+
+    private static final End[] ENDS = End.values();
+
+    private final List<String> classes;
+    private final AtomicLongArray ended;
+    private final AtomicLong attempts = new AtomicLong();
+    private final AtomicLong inFlight = new AtomicLong();
+    private volatile int known;
+    private volatile int excluded;
+
+    Figures(List<String> classes) {
+        this.classes = List.copyOf(classes);
+        ended = new AtomicLongArray(classes.size() * ENDS.length);
+    }
+
+    /** A request has come whole. */
+    void taken() {
+        inFlight.getAndIncrement();
+    }
+
+    /** The last byte of its answer has been written. */
+    void ended(int classIndex, End end) {
+        ended.getAndIncrement(classIndex * ENDS.length + end.ordinal());
+        inFlight.getAndDecrement();
+    }
+
+    /** Its client has left before that. */
+    void abandoned() {
+        inFlight.getAndDecrement();
+    }
+
+    /** A request has been written whole to a server. */
+    void attempted() {
+        attempts.getAndIncrement();
+    }
+
+    /** How many servers the list holds, and how many of them are avoided. */
+    void servers(int listed, int avoided) {
+        known = listed;
+        excluded = avoided;
+    }
+
+    /** All of it, a figure a line. */
+    String text() {
+        StringBuilder text = new StringBuilder();
+        for (int c = 0; c < classes.size(); c++) {
+            for (End end : ENDS) {
+                line(text, "requests." + classes.get(c) + '.' + name(end),
+                        ended.get(c * ENDS.length + end.ordinal()));
+            }
+        }
+        line(text, "attempts", attempts.get());
+        line(text, "in_flight", inFlight.get());
+        line(text, "web_servers_known", known);
+        line(text, "web_servers_excluded", excluded);
+        return text.toString();
+    }
+
+    private static String name(End end) {
+        return switch (end) {
+            case SERVED -> "served";
+            case REFUSED -> "refused";
+            case FAILED -> "failed";
+        };
+    }
+
+    private static void line(StringBuilder text, String name, long value) {
+        text.append("node.").append(name).append('=').append(value).append('\n');
+    }
+}
--- /dev/null
+++ b/src/main/java/cedarrelay/node/Lifecycle.java
@@ -0,0 +1,56 @@
+package cedarrelay.node;
+
+/**
+ * Whether this process takes clients: the one state behind {@code /ready}, the operators' calls and SIGTERM.
+ * Any thread may change or read it; the client side follows it on its own loop.
+ */
+final class Lifecycle {
+
+    /** In the order of a life; a lame duck may take clients again, a stopping process never. */
+    enum State { STARTING, TAKING, LAME_DUCK, STOPPING }
+
+    private boolean started;
+    private volatile State state = State.STARTING;
+
+    State state() {
+        return state;
+    }
+
+    /** Whether clients may be sent here. */
+    boolean isTaking() {
+        return state == State.TAKING;
+    }
+
+    /** Whether clients are being sent away. */
+    boolean isLeaving() {
+        return state.compareTo(State.LAME_DUCK) >= 0;
+    }
+
+    /** The start is over. A word to send clients away that came before it still holds. */
+    synchronized void started() {
+        started = true;
+        if (state == State.STARTING) {
+            state = State.TAKING;
+        }
+    }
+
+    /** Sends clients away, and goes on running. */
+    synchronized void sendAway() {
+        if (state != State.STOPPING) {
+            state = State.LAME_DUCK;
+        }
+    }
+
+    /** Takes clients again; false if it is too late for that. */
+    synchronized boolean takeAgain() {
+        if (state == State.LAME_DUCK) {
+            state = started ? State.TAKING : State.STARTING;
+        }
+        return state != State.STOPPING;
+    }
+
+    /** Sends clients away for good. */
+    synchronized void stop() {
+        state = State.STOPPING;
+    }
+}
--- a/src/main/java/cedarrelay/node/Main.java
+++ b/src/main/java/cedarrelay/node/Main.java
@@ -9,6 +9,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.Future;
 
 /** Starts one node, and ends it in order when told to. */
 public final class Main {
@@ -17,6 +18,9 @@
     /** Past the longest wait for an answer: then there is nothing left worth waiting for. */
     private static final long STOP_WITHIN_MS = 3_650;
 
+    /** Past that an operator's call has been given up. */
+    private static final long CALL_WITHIN_MS = 3_000;
+
     /**
      * Enough for the code that each request runs to be compiled: the interpreter looks at a method's calls
      * every 128, and asks for its compilation past 200. More would only make the node come later.
@@ -44,20 +48,31 @@
         }
         EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         EventLoop loop = group.next();
+        Config config;
         Node node;
         try {
-            node = new Node(Config.read(System.getenv()), loop);
+            config = Config.read(System.getenv());
+            node = new Node(config, loop);
         } catch (IllegalArgumentException e) {
             exit("bad configuration: " + e.getMessage(), BAD_CONFIG);
             return;
         }
         Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(node, loop), "stop"));
         onHangUp(() -> reload(node, loop));
-        loop.execute(() -> node.start(group, REHEARSED, () -> { }).addListener(done -> {
-            if (!done.isSuccess()) {
-                exit("can't listen: " + done.cause().getMessage(), 1);
-            }
-        }));
+        if (config.admin() != null) {
+            EventLoopGroup callers = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+            new AdminServer(node.figures(), node.lifecycle(), CALL_WITHIN_MS).listen(callers, config.admin())
+                    .addListener(done -> needed(done, "for operators"));
+        }
+        loop.execute(() -> node.start(group, REHEARSED, () -> { })
+                .addListener(done -> needed(done, "for clients")));
+    }
+
+    /** A node without one of its addresses is no use to anybody. */
+    private static void needed(Future<?> listening, String whom) {
+        if (!listening.isSuccess()) {
+            exit("can't listen " + whom + ": " + listening.cause().getMessage(), 1);
+        }
     }
 
     private static void rehearse() {
--- a/src/main/java/cedarrelay/node/Node.java
+++ b/src/main/java/cedarrelay/node/Node.java
@@ -16,6 +16,7 @@
 import cedarrelay.Balancer.ListKind;
 import cedarrelay.Balancer.Outcome;
 import cedarrelay.Balancer.Request;
+import cedarrelay.Balancer.RequestClass;
 import cedarrelay.Balancer.Result;
 import cedarrelay.Balancer.ServerEntry;
 import cedarrelay.ServiceQBalancer;
@@ -55,6 +56,8 @@
     private final Config config;
     private final EventLoop loop;
     private final Balancer balancer;
+    private final Lifecycle lifecycle = new Lifecycle();
+    private final Figures figures;
     private final Sockets sockets;
     private final ServerPool pool;
     private final Discovery discovery;
@@ -130,6 +133,11 @@
             return request.exchange.request().forServer(untilUs - nowUs());
         }
 
+        @Override
+        public void written() {
+            figures.attempted();
+        }
+
         @Override
         public void ended(Result result, Answer answer) {
             over = true;
@@ -154,9 +162,11 @@
         this.loop = loop;
         config.settings().zones.forEach(z -> zones.put(z, zones.size()));
         balancer = new ServiceQBalancer(config.settings(), config.seed(), this);
+        figures = new Figures(config.settings().classes.stream().map(RequestClass::name).toList());
         sockets = new Sockets(config.sockets());
         pool = new ServerPool(loop, sockets, config.settings().connectTimeoutUs, config.connIdleUs());
-        clients = new ClientServer(loop, sockets, new ClientRequest.Reader(config.settings()), this::take);
+        clients = new ClientServer(loop, sockets, new ClientRequest.Reader(config.settings()), lifecycle,
+                figures, this::take);
         discovery = new Discovery(loop, config.discovery(), config.known().revision(),
                 Discovery.SILENT_MS, this);
     }
@@ -180,7 +190,7 @@
                             // The first line costs 50 ms of a whole core: not while clients wait.
                             LOG.log(Level.INFO, "ready; " + config.known().targets().size()
                                     + " servers on the last list");
-                            clients.setReady();
+                            lifecycle.started();
                             whenReady.run();
                         }).run();
             }
@@ -188,6 +198,16 @@
         return binding;
     }
 
+    /** What it has done, for any thread. */
+    Figures figures() {
+        return figures;
+    }
+
+    /** Whether it takes clients, for any thread. */
+    Lifecycle lifecycle() {
+        return lifecycle;
+    }
+
     /** Begins as a rehearsal's node: it has a list, no address of its own, and asks for no other list. */
     void rehearse() {
         rehearsing = true;
@@ -216,7 +236,7 @@
 
     /** Stops taking requests after a while and runs {@code done} as soon as all are answered. */
     void stop(Runnable done) {
-        clients.drain();
+        lifecycle.stop();
         loop.schedule(() -> {
             clients.stopAccepting();
             runWhenDone(done);
@@ -260,6 +280,7 @@
             }
         } finally {
             inCall = false;
+            figures.servers(balancer.listed(), balancer.avoided());
         }
     }
 
--- a/src/main/java/cedarrelay/node/ServerPool.java
+++ b/src/main/java/cedarrelay/node/ServerPool.java
@@ -53,6 +53,9 @@
         /** The message, asked for when it goes out. */
         FullHttpRequest message();
 
+        /** The system has taken the message's last byte. */
+        default void written() { }
+
         /** The one report on the attempt; the answer is there when the result is OK or ERROR. */
         void ended(Result result, Answer answer);
     }
@@ -326,6 +329,7 @@
                 }
                 if (done.isSuccess()) {
                     written = true;
+                    next.caller.written();
                 } else {
                     attempt = null;
                     channel.close();
--- /dev/null
+++ b/src/test/java/cedarrelay/node/AdminServerTest.java
@@ -0,0 +1,162 @@
+package cedarrelay.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.Channel;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** The operators' calls, with nothing behind them but the state and the figures. */
+@Timeout(120)
+class AdminServerTest {
+    private final Lifecycle lifecycle = new Lifecycle();
+    private final Figures figures = new Figures(List.of("view", "order"));
+    private EventLoopGroup group;
+    private Channel listening;
+
+    @BeforeEach
+    void open() {
+        group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    }
+
+    @AfterEach
+    void close() throws Exception {
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
+    }
+
+    private void listen(long callWithinMs) throws Exception {
+        listening = new AdminServer(figures, lifecycle, callWithinMs)
+                .listen(group, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)).sync().channel();
+    }
+
+    private Socket connect() throws Exception {
+        Socket socket = new Socket("127.0.0.1", ((InetSocketAddress) listening.localAddress()).getPort());
+        socket.setSoTimeout((int) TimeUnit.SECONDS.toMillis(FakePeer.PATIENCE_S));
+        return socket;
+    }
+
+    private String call(String text) throws Exception {
+        try (Socket socket = connect()) {
+            FakePeer.write(socket, text);
+            String answer = FakePeer.read(socket);
+            assertEquals(-1, socket.getInputStream().read(), "one call to a connection");
+            return answer;
+        }
+    }
+
+    private int status(String method, String path) throws Exception {
+        return Integer.parseInt(call(method + " " + path + " HTTP/1.1\r\nHost: x\r\n\r\n").substring(9, 12));
+    }
+
+    @Test
+    void readyFollowsTheStartAndTheCalls() throws Exception {
+        listen(60_000);
+        assertEquals(503, status("GET", "/_ready"));
+        assertEquals(200, status("POST", "/_lameduck/off"), "off without on");
+        assertEquals(503, status("GET", "/_ready"), "off is no start");
+        lifecycle.started();
+        assertEquals(200, status("GET", "/_ready"));
+        assertEquals(200, status("POST", "/_lameduck/on"));
+        assertEquals(200, status("POST", "/_lameduck/on"), "on twice");
+        assertEquals(503, status("GET", "/_ready"));
+        assertEquals(200, status("POST", "/_lameduck/off"));
+        assertEquals(200, status("GET", "/_ready"));
+        assertEquals(200, status("POST", "/_lameduck/on"));
+        lifecycle.stop();
+        assertEquals(200, status("POST", "/_lameduck/on"), "they are being sent away already");
+        assertEquals(409, status("POST", "/_lameduck/off"), "too late");
+        assertEquals(503, status("GET", "/_ready"));
+    }
+
+    @Test
+    void aDrainAskedForDuringTheStartHoldsAfterIt() throws Exception {
+        listen(60_000);
+        assertEquals(200, status("POST", "/_lameduck/on"));
+        lifecycle.started();
+        assertEquals(503, status("GET", "/_ready"));
+        assertEquals(200, status("POST", "/_lameduck/off"));
+        assertEquals(200, status("GET", "/_ready"));
+    }
+
+    @Test
+    void whatIsNoCallIsToldSo() throws Exception {
+        listen(60_000);
+        assertEquals(404, status("GET", "/"));
+        assertEquals(404, status("POST", "/_lameduck"));
+        assertEquals(405, status("POST", "/_ready"));
+        assertEquals(405, status("DELETE", "/_vars"));
+        assertEquals(405, status("GET", "/_lameduck/on"));
+        assertEquals(Lifecycle.State.STARTING, lifecycle.state());
+        assertTrue(call("\u0001\u0002 what\r\n\r\n").startsWith("HTTP/1.1 400"));
+        assertTrue(call("GET /" + "x".repeat(2_000) + " HTTP/1.1\r\n\r\n").startsWith("HTTP/1.1 400"));
+        assertTrue(call("GET /_vars HTTP/1.1\r\nX: " + "x".repeat(5_000) + "\r\n\r\n")
+                .startsWith("HTTP/1.1 400"));
+        assertTrue(call("POST /_lameduck/on HTTP/1.1\r\nContent-Length: 5000\r\n\r\n")
+                .startsWith("HTTP/1.1 400"));
+        assertEquals(Lifecycle.State.STARTING, lifecycle.state());
+    }
+
+    @Test
+    void theFiguresBearTheirNames() throws Exception {
+        listen(60_000);
+        figures.taken();
+        figures.taken();
+        figures.taken();
+        figures.ended(1, Figures.End.SERVED);
+        figures.ended(0, Figures.End.REFUSED);
+        figures.attempted();
+        figures.servers(12, 3);
+        String answer = call("GET /_vars HTTP/1.1\r\n\r\n");
+        assertEquals("""
+                node.requests.view.served=0
+                node.requests.view.refused=1
+                node.requests.view.failed=0
+                node.requests.order.served=1
+                node.requests.order.refused=0
+                node.requests.order.failed=0
+                node.attempts=1
+                node.in_flight=1
+                node.web_servers_known=12
+                node.web_servers_excluded=3
+                """, answer.substring(answer.indexOf("\r\n\r\n") + 4));
+    }
+
+    @Test
+    void callersThatFinishNoCallKeepNobodyOut() throws Exception {
+        listen(60_000);
+        List<Socket> stuck = new ArrayList<>();
+        for (int i = 0; i < AdminServer.MOST_CALLERS; i++) {
+            Socket socket = connect();
+            FakePeer.write(socket, "GET /_va");
+            stuck.add(socket);
+        }
+        assertEquals(503, status("GET", "/_ready"));
+        assertNull(FakePeer.read(stuck.get(0)), "the oldest makes room");
+        for (Socket socket : stuck) {
+            socket.close();
+        }
+    }
+
+    @Test
+    void aCallThatDoesNotComeWholeIsEnded() throws Exception {
+        listen(50);
+        try (Socket socket = connect()) {
+            FakePeer.write(socket, "GET /_vars HTTP/1.1\r\nHost:");
+            assertNull(FakePeer.read(socket));
+        }
+    }
+}
--- a/src/test/java/cedarrelay/node/MainTest.java
+++ b/src/test/java/cedarrelay/node/MainTest.java
@@ -203,14 +203,31 @@
         rejected(Fixture.write(noSettings).toString(), "settings");
         rejected(Fixture.write(noSeed).toString(), "seed");
         rejected(Fixture.write(noClasses).toString(), "classes");
+        JsonObject noPort = Fixture.config(discovery, server);
+        noPort.addProperty("admin", "127.0.0.1");
+        rejected(Fixture.write(noPort).toString(), "address and port");
         Files.delete(broken);
     }
 
+    @Test
+    void anAddressThatCannotBeUsedEndsItWithOneClearLine() throws Exception {
+        JsonObject config = Fixture.config(discovery, server);
+        config.addProperty("admin", server.address());
+        rejected(Fixture.write(config).toString(), "can't listen for operators", 1);
+        config.remove("admin");
+        config.addProperty("listen", server.address());
+        rejected(Fixture.write(config).toString(), "can't listen for clients", 1);
+    }
+
     private void rejected(String config, String named) throws Exception {
+        rejected(config, named, 2);
+    }
+
+    private void rejected(String config, String named, int code) throws Exception {
         run(config, "");
         String said = new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
         assertTrue(process.waitFor(FakePeer.PATIENCE_S, TimeUnit.SECONDS), "still running");
-        assertEquals(2, process.exitValue(), said);
+        assertEquals(code, process.exitValue(), said);
         assertTrue(said.contains(named) && said.lines().count() == 1, said);
     }
 }
