Let a new process share the clients' address and take over once it is warm

Connections that waited in the accept queue or had not been read when the listener closed are served now: before, the idle ones among them were closed.

--- a/src/main/java/cedarrelay/node/ClientServer.java
+++ b/src/main/java/cedarrelay/node/ClientServer.java
@@ -43,6 +43,7 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.ScheduledFuture;
 
 /** The client side: connections accepted, requests read, and one answer to each, in order. */
 final class ClientServer {
@@ -73,7 +74,8 @@
     private final Consumer<Exchange> taker;
     /** Open connections; those heard from most recently last. */
     private final Set<Connection> connections = new LinkedHashSet<>();
-    private Channel listening;
+    private final ScheduledFuture<?> sweeper;
+    private SharedListener listening;
     private String rehearsal;
     /** When clients began to be sent away, by {@link System#nanoTime}; 0 if they are not. */
     private long leavingSince;
@@ -87,11 +89,28 @@
         this.figures = figures;
         this.taker = taker;
         sockets.clientSide(this::closeOldestIdle, this::acceptAgain);
+        sweeper = loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Looks after its connections no longer; for the end of a rehearsal. */
+    void close() {
+        sweeper.cancel(false);
     }
 
     /** Binds the address; the future tells whether it could be had. */
     ChannelFuture listen(EventLoopGroup group, SocketAddress address) {
-        ChannelFuture binding = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
+        SharedListener fresh = new SharedListener();
+        listening = fresh;
+        return bind(group, fresh, address);
+    }
+
+    /** Binds an address for the rehearsal only; whoever does so closes it. */
+    ChannelFuture listenForRehearsal(EventLoopGroup group, SocketAddress address) {
+        return bind(group, new NioServerSocketChannel(), address);
+    }
+
+    private ChannelFuture bind(EventLoopGroup group, NioServerSocketChannel fresh, SocketAddress address) {
+        return new ServerBootstrap().group(group).channelFactory(() -> fresh)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .handler(new AcceptGuard())
@@ -101,9 +120,6 @@
                         open(channel.pipeline());
                     }
                 }).bind(address);
-        listening = binding.channel();
-        loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
-        return binding;
     }
 
     /** Sets up a client's connection. */
@@ -121,10 +137,9 @@
         rehearsal = token;
     }
 
-    /** No new connections, and none is kept that owes no answer. */
+    /** No new connections but those that wait already; the sweep ends what stands idle. */
     void stopAccepting() {
-        listening.close();
-        new ArrayList<>(connections).stream().filter(Connection::isIdle).forEach(c -> c.channel.close());
+        listening.closeEmptied();
     }
 
     /** Whether all that was taken has been answered and written. */
@@ -134,7 +149,7 @@
 
     /**
      * Ends connections whose request does not come: anyone may connect, and send nothing or half. While
-     * clients are sent away it ends idle ones too, but for new ones, whose first request is on its way.
+     * clients are sent away it ends idle ones too, but leaves new ones some time for their first request.
      */
     private void sweep() {
         long now = System.nanoTime();
@@ -144,7 +159,7 @@
         for (Connection connection : new ArrayList<>(connections)) {
             if (connection.isOverdue(now)) {
                 connection.reject(new BadRequest(HttpResponseStatus.REQUEST_TIMEOUT, "no whole request"));
-            } else if (empty && connection.isIdle() && !connection.awaited) {
+            } else if (empty && connection.isSpare(now)) {
                 connection.channel.close();
             }
         }
@@ -306,6 +321,8 @@
         /** Whether a request is awaited: the first one, or the rest of one; and since when. */
         private boolean awaited;
         private long awaitedSince;
+        /** Whether something of the request that is awaited has come. */
+        private boolean begun;
 
         Connection(Channel channel) {
             this.channel = channel;
@@ -320,6 +337,12 @@
                     && now - awaitedSince >= TimeUnit.MILLISECONDS.toNanos(REQUEST_WITHIN_MS);
         }
 
+        /** Whether it can be closed with no request lost, unless one is on its way this moment. */
+        boolean isSpare(long now) {
+            return isIdle() && !begun && (!awaited
+                    || now - awaitedSince >= TimeUnit.MILLISECONDS.toNanos(FRONT_LEAVES_MS));
+        }
+
         private void await() {
             if (!awaited) {
                 awaited = true;
@@ -361,6 +384,7 @@
                 return;
             }
             awaited = false;
+            begun = false;
             connections.remove(this);
             connections.add(this);
             if (held != null || !ahead.isEmpty()) {
@@ -493,6 +517,7 @@
             @Override
             public void channelRead(ChannelHandlerContext ctx, Object message) {
                 await();
+                begun = true;
                 ctx.fireChannelRead(message);
             }
         }
--- a/src/main/java/cedarrelay/node/Main.java
+++ b/src/main/java/cedarrelay/node/Main.java
@@ -64,7 +64,7 @@
             new AdminServer(node.figures(), node.lifecycle(), CALL_WITHIN_MS).listen(callers, config.admin())
                     .addListener(done -> needed(done, "for operators"));
         }
-        loop.execute(() -> node.start(group, REHEARSED, () -> { })
+        loop.execute(() -> node.start(group, REHEARSED)
                 .addListener(done -> needed(done, "for clients")));
     }
 
@@ -78,7 +78,8 @@
     private static void rehearse() {
         EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         Node node = new Node(Config.parse(EXAMPLE, Map.of()), group.next());
-        group.next().execute(() -> node.start(group, REHEARSED, group::shutdownGracefully));
+        group.next().execute(() -> node.start(group, REHEARSED)
+                .addListener(ready -> group.shutdownGracefully()));
     }
 
     /** One line, whatever the reason holds. */
--- a/src/main/java/cedarrelay/node/Node.java
+++ b/src/main/java/cedarrelay/node/Node.java
@@ -20,6 +20,7 @@
 import cedarrelay.Balancer.Result;
 import cedarrelay.Balancer.ServerEntry;
 import cedarrelay.ServiceQBalancer;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.EventLoop;
@@ -30,6 +31,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.Promise;
 import io.netty.util.concurrent.ScheduledFuture;
 
 /**
@@ -172,30 +174,47 @@
     }
 
     /**
-     * Takes in the known list, opens the client side and serves; says that it is ready after a rehearsal
-     * of so many requests. To be called on the loop, as all else here.
+     * Takes in the known list and, after a rehearsal of so many requests, opens the client side and says
+     * that it is ready. The promise has the listening channel then, or why there is none. To be called on
+     * the loop, as all else here.
      */
-    ChannelFuture start(EventLoopGroup group, int rehearsed, Runnable whenReady) {
+    Promise<Channel> start(EventLoopGroup group, int rehearsed) {
+        Promise<Channel> ready = loop.newPromise();
+        takeList(ListKind.CACHED, config.known());
+        if (!config.settings().listOnRequest) {
+            discovery.subscribe();
+        }
+        // The clients' own address may be another process's still, which would get some of the rehearsal.
+        ChannelFuture binding = clients.listenForRehearsal(group,
+                new InetSocketAddress(config.listen().getAddress(), 0));
+        binding.addListener(done -> {
+            if (!done.isSuccess()) {
+                ready.setFailure(done.cause());
+                return;
+            }
+            String token = Long.toHexString(new SplittableRandom(config.seed()).nextLong());
+            clients.setRehearsal(token);
+            new Rehearsal(loop, config, (InetSocketAddress) binding.channel().localAddress(), token,
+                    rehearsed, REHEARSE_MS, () -> {
+                        binding.channel().close();
+                        open(group, ready);
+                    }).run();
+        });
+        return ready;
+    }
+
+    private void open(EventLoopGroup group, Promise<Channel> ready) {
+        // The first line costs 50 ms of a whole core: not while clients wait.
+        LOG.log(Level.INFO, "warm; " + config.known().targets().size() + " servers on the last list");
         ChannelFuture binding = clients.listen(group, config.listen());
         binding.addListener(done -> {
             if (done.isSuccess()) {
-                takeList(ListKind.CACHED, config.known());
-                if (!config.settings().listOnRequest) {
-                    discovery.subscribe();
-                }
-                String token = Long.toHexString(new SplittableRandom(config.seed()).nextLong());
-                clients.setRehearsal(token);
-                new Rehearsal(loop, config, (InetSocketAddress) binding.channel().localAddress(), token,
-                        rehearsed, REHEARSE_MS, () -> {
-                            // The first line costs 50 ms of a whole core: not while clients wait.
-                            LOG.log(Level.INFO, "ready; " + config.known().targets().size()
-                                    + " servers on the last list");
-                            lifecycle.started();
-                            whenReady.run();
-                        }).run();
+                lifecycle.started();
+                ready.setSuccess(binding.channel());
+            } else {
+                ready.setFailure(done.cause());
             }
         });
-        return binding;
     }
 
     /** What it has done, for any thread. */
@@ -225,6 +244,7 @@
         }
         held.values().forEach(h -> h.guard.cancel(false));
         discovery.close();
+        clients.close();
         pool.close();
     }
 
--- /dev/null
+++ b/src/test/java/cedarrelay/node/UpgradeTest.java
@@ -0,0 +1,182 @@
+package cedarrelay.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+
+import com.google.gson.JsonObject;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Two processes' worth of node on one address: the newer takes over from the older. */
+@Timeout(120)
+class UpgradeTest {
+    private final List<EventLoopGroup> groups = new ArrayList<>();
+    private FakePeer discovery;
+    private FakePeer server;
+    private JsonObject json;
+    private int port;
+
+    @BeforeEach
+    void open() throws Exception {
+        discovery = new FakePeer(FakePeer.SILENT);
+        server = new FakePeer(FakePeer.answer("200 OK", "", "done"));
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            port = free.getLocalPort();
+        }
+        json = Fixture.config(discovery, server);
+        json.addProperty("listen", "127.0.0.1:" + port);
+    }
+
+    @AfterEach
+    void close() throws Exception {
+        for (EventLoopGroup group : groups) {
+            group.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
+        }
+        discovery.close();
+        server.close();
+    }
+
+    private EventLoopGroup group() {
+        EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        groups.add(group);
+        return group;
+    }
+
+    /** A started node and the loop that it runs on. */
+    private record Running(Node node, EventLoop loop) {
+        CountDownLatch stop() {
+            CountDownLatch done = new CountDownLatch(1);
+            loop.execute(() -> node.stop(done::countDown));
+            return done;
+        }
+    }
+
+    private Running start() throws Exception {
+        EventLoopGroup group = group();
+        EventLoop loop = group.next();
+        Config config = Config.read(Map.of("LB_CONFIG", Fixture.write(json).toString()));
+        Node node = loop.submit(() -> new Node(config, loop)).get();
+        loop.submit(() -> node.start(group, 8)).get().sync();
+        return new Running(node, loop);
+    }
+
+    private Socket connect() throws IOException {
+        Socket socket = new Socket("127.0.0.1", port);
+        socket.setSoTimeout((int) TimeUnit.SECONDS.toMillis(FakePeer.PATIENCE_S));
+        return socket;
+    }
+
+    private void ask(long id) throws Exception {
+        try (Socket socket = connect()) {
+            FakePeer.write(socket, Fixture.request("GET", "/view", id, "", ""));
+            String answer = FakePeer.read(socket);
+            assertNotNull(answer, "request " + id + " was lost");
+            assertTrue(answer.startsWith("HTTP/1.1 200"), answer);
+        }
+    }
+
+    @Test
+    void theNewerProcessTakesOverAndNoRequestIsLostOrSentTwice() throws Exception {
+        Running old = start();
+        long asked = 0;
+        for (; asked < 10; asked++) {
+            ask(asked);
+        }
+        Running young = start();
+        // The system shares connections out by chance: this many, and both have had some.
+        for (; asked < 60; asked++) {
+            ask(asked);
+        }
+        assertTrue(servedBy(old) > 10 && servedBy(young) > 0, "one of them got nothing");
+        CountDownLatch over = old.stop();
+        while (!over.await(0, TimeUnit.SECONDS)) {
+            ask(asked++);
+        }
+        long before = servedBy(old);
+        for (int i = 0; i < 20; i++) {
+            ask(asked++);
+        }
+        assertEquals(before, servedBy(old), "ended, and still taking clients");
+        Set<String> ids = new HashSet<>();
+        server.requests.forEach(r -> assertTrue(ids.add(FakePeer.header(r, "X-Txn")), "sent twice"));
+        assertEquals(asked, ids.size());
+        CountDownLatch youngOver = young.stop();
+        assertTrue(youngOver.await(FakePeer.PATIENCE_S, TimeUnit.SECONDS));
+        assertThrows(ConnectException.class, this::connect);
+    }
+
+    private static long servedBy(Running running) {
+        return running.node().figures().text().lines().filter(l -> l.startsWith("node.requests.view.served="))
+                .mapToLong(l -> Long.parseLong(l.split("=")[1])).sum();
+    }
+
+    @Test
+    void theAddressIsNotBoundBeforeTheRehearsalIsOver() throws Exception {
+        EventLoopGroup group = group();
+        EventLoop loop = group.next();
+        Config config = Config.read(Map.of("LB_CONFIG", Fixture.write(json).toString()));
+        CountDownLatch looked = new CountDownLatch(1);
+        loop.execute(() -> {
+            new Node(config, loop).start(group, 8);
+            try {
+                // The rehearsal has been asked for and can't go on before this turn of the loop is over.
+                looked.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        assertThrows(ConnectException.class, this::connect);
+        looked.countDown();
+    }
+
+    @Test
+    void whatWaitsToBeAcceptedIsServedWhenTheListenerCloses() throws Exception {
+        EventLoopGroup group = group();
+        EventLoop loop = group.next();
+        ClientServer clients = loop.submit(() -> new ClientServer(loop, new Sockets(1_024),
+                new ClientRequest.Reader(Config.read(Map.of("LB_CONFIG", Fixture.write(json).toString()))
+                        .settings()), new Lifecycle(), new Figures(List.of()), exchange -> { })).get();
+        loop.submit(() -> clients.listen(group, new InetSocketAddress("127.0.0.1", port))).get().sync();
+        CountDownLatch connected = new CountDownLatch(1);
+        loop.execute(() -> {
+            try {
+                connected.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+            clients.stopAccepting();
+        });
+        List<Socket> waiting = new ArrayList<>();
+        for (int i = 0; i < 40; i++) {
+            waiting.add(connect());
+            FakePeer.write(waiting.get(i), "GET /ready HTTP/1.1\r\n\r\n");
+        }
+        connected.countDown();
+        for (Socket socket : waiting) {
+            assertTrue(FakePeer.read(socket).startsWith("HTTP/1.1 503"), "not taken up");
+            socket.close();
+        }
+    }
+}
