--- a/src/main/java/cedarrelay/node/Node.java
+++ b/src/main/java/cedarrelay/node/Node.java
@@ -80,7 +80,7 @@
 
     /** A request taken, until it is answered and no attempt is out. */
     private final class Held {
-        private final ClientServer.Exchange exchange;
+        private final Exchange exchange;
         private final long id;
         private final long deadlineUs;
         private final List<Sent> sent = new ArrayList<>(2);
@@ -88,7 +88,7 @@
         private int out;
         private boolean over;
 
-        Held(ClientServer.Exchange exchange, long deadlineUs) {
+        Held(Exchange exchange, long deadlineUs) {
             this.exchange = exchange;
             this.id = exchange.request().id();
             this.deadlineUs = deadlineUs;
@@ -318,7 +318,7 @@
 
     // ---------------------------------------------------------------- clients
 
-    private void take(ClientServer.Exchange exchange) {
+    private void take(Exchange exchange) {
         ClientRequest request = exchange.request();
         if (held.containsKey(request.id())) {
             exchange.failed(HttpResponseStatus.CONFLICT, "a request of this id is in hand");
--- a/src/test/java/cedarrelay/node/NodeTest.java
+++ b/src/test/java/cedarrelay/node/NodeTest.java
@@ -329,7 +329,7 @@
 
     @Test
     void aClientThatLeavesInTheMiddleOfARequestIsNoFaultOfTheNode() throws Exception {
-        assertEquals(List.of(), logging(ClientServer.class, logged -> {
+        assertEquals(List.of(), logging(ClientConnection.class, logged -> {
             int port = start(Fixture.config(discovery, first));
             client = connect(port);
             FakePeer.write(client, Fixture.request("POST", "/order", 1, "", "half").replace("half", "h"));
