--- a/src/main/java/cedarrelay/Balancer.java
+++ b/src/main/java/cedarrelay/Balancer.java
@@ -30,7 +30,7 @@
     /** How one attempt ended. Attempts that are not known are passed over. */
     void onOutcome(long nowUs, Outcome outcome);
 
-    /** An attempt of a streamed class has begun to answer; it has no deadline from here on. */
+    /** An attempt has begun to answer at length, or as a stream; it has no deadline from here on. */
     void onFirstByte(long nowUs, long requestId, int attempt);
 
     /** The client has left; nothing more is owed. Ids that are not held are passed over. */
--- a/src/main/java/cedarrelay/ServiceQBalancer.java
+++ b/src/main/java/cedarrelay/ServiceQBalancer.java
@@ -233,6 +233,7 @@
         int asksOut;
         long decideAt;
         boolean streaming;
+        boolean passing;
         boolean ended;
 
         Call(Request request, Settings set, long now, long elapsedUs) {
@@ -434,6 +435,25 @@
         Result result = outcome.result();
         call.results[attempt] = result;
         call.outstanding--;
+        if (!call.passing) {
+            learn(call, attempt, outcome);
+        } else if (result == Result.RESET || result == Result.TIMEOUT) {
+            failed(server, true);
+        }
+        if (outcome.requestEnded()) {
+            end(call);
+        } else if (!call.ended && call.outstanding == 0) {
+            passOn(call, server);
+        }
+        forgetIfOver(call);
+        serveWaiting();
+        scheduleWake();
+    }
+
+    /** What an attempt tells of its server and of the fleet, once it takes no more of its server's work. */
+    private void learn(Call call, int attempt, Outcome outcome) {
+        Server server = call.servers[attempt];
+        Result result = outcome.result();
         server.inFlight--;
         inFlight -= isCounted(server) ? 1 : 0;
         if (result == Result.OK) {
@@ -468,22 +488,24 @@
             }
         }
         adaptLimit(call, attempt, outcome);
-        if (outcome.requestEnded()) {
-            end(call);
-        } else if (!call.ended && call.outstanding == 0) {
-            passOn(call, server);
-        }
-        forgetIfOver(call);
-        serveWaiting();
-        scheduleWake();
     }
 
     @Override
     public void onFirstByte(long nowUs, long requestId, int attempt) {
         now = nowUs;
         Call call = calls.get(requestId);
-        if (call != null) {
-            call.streaming = true;
+        if (call == null) {
+            return;
+        }
+        call.streaming = true;
+        // A long answer on its way takes the network's time, not the server's.
+        if (!call.cls.stream() && !call.passing && attempt == call.attempts - 1
+                && call.results[attempt] == null) {
+            call.passing = true;
+            learn(call, attempt, new Outcome(requestId, attempt, Result.OK, now - call.sentAt[attempt], true,
+                    null));
+            serveWaiting();
+            scheduleWake();
         }
     }
 
--- a/src/main/java/cedarrelay/node/AnswerDecoder.java
+++ b/src/main/java/cedarrelay/node/AnswerDecoder.java
@@ -25,6 +25,12 @@
         return super.createMessage(initialLine);
     }
 
+    /** Both a length and chunks: one of them is a lie. */
+    @Override
+    protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
+        throw new IllegalArgumentException("framed in two ways");
+    }
+
     /** Netty lets a name end at white space too, and then does without the colon. */
     @Override
     protected AsciiString splitHeaderName(byte[] line, int start, int length) {
--- a/src/main/java/cedarrelay/node/ClientConnection.java
+++ b/src/main/java/cedarrelay/node/ClientConnection.java
@@ -7,14 +7,17 @@
 import java.util.Deque;
 import java.util.concurrent.TimeUnit;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.PrematureChannelClosureException;
+import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -22,9 +25,11 @@
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
@@ -55,6 +60,9 @@
     private Exchange held;
     private int unwritten;
     private boolean ending;
+    /** While a long answer is written: what to do when there is room for more. */
+    private Runnable flow;
+    private boolean flowKeeps;
     /** Whether a request is awaited: the first one, or the rest of one; and since when. */
     private boolean awaited;
     private long awaitedSince;
@@ -112,6 +120,7 @@
         if (held != null) {
             Exchange left = held;
             held = null;
+            flow = null;
             left.gone();
         }
     }
@@ -149,7 +158,7 @@
                 answer(Responses.plain(HttpResponseStatus.OK, "rehearsed"), keepAlive);
                 return;
             }
-            held = server.exchange(this, http, arrivedNs, keepAlive);
+            held = server.exchange(this, http, arrivedNs);
             server.take(held);
         } catch (BadRequest e) {
             answer(Responses.bad(e), HttpUtil.isKeepAlive(http));
@@ -197,10 +206,61 @@
     }
 
     ChannelFuture answer(FullHttpResponse response, boolean keepAlive) {
+        boolean keep = isKept(keepAlive);
+        return ended(channel.writeAndFlush(keep ? response : closing(response)), keep);
+    }
+
+    private boolean isKept(boolean keepAlive) {
+        return keepAlive && !ending && (!server.lifecycle().isLeaving() || !ahead.isEmpty());
+    }
+
+    /** Writes the head of a long answer; its parts follow, and then its end. */
+    void begin(HttpResponse head, boolean keepAlive, Runnable whenWritable) {
+        flowKeeps = isKept(keepAlive);
+        flow = whenWritable;
+        channel.write(flowKeeps ? head : closing(head));
+    }
+
+    /** Whether a long answer has begun and not ended. */
+    boolean isFlowing() {
+        return flow != null;
+    }
+
+    void pass(ByteBuf part) {
+        channel.write(new DefaultHttpContent(part));
+    }
+
+    void flush() {
+        channel.flush();
+    }
+
+    boolean isWritable() {
+        return channel.isWritable();
+    }
+
+    ChannelFuture finish() {
+        flow = null;
+        return ended(channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT), flowKeeps);
+    }
+
+    /** Ends it in the middle of an answer, and so that this shows where only the end would tell. */
+    void cutOff() {
+        held = null;
+        flow = null;
+        channel.config().setOption(ChannelOption.SO_LINGER, 0);
+        channel.close();
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+        if (flow != null && channel.isWritable()) {
+            flow.run();
+        }
+    }
+
+    private ChannelFuture ended(ChannelFuture writing, boolean keep) {
         held = null;
-        boolean keep = keepAlive && !ending && (!server.lifecycle().isLeaving() || !ahead.isEmpty());
         unwritten++;
-        ChannelFuture writing = channel.writeAndFlush(keep ? response : closing(response));
         writing.addListener(written -> unwritten--);
         if (!keep) {
             ending = true;
@@ -221,7 +281,7 @@
         }
     }
 
-    private FullHttpResponse closing(FullHttpResponse response) {
+    private static <T extends HttpResponse> T closing(T response) {
         response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         return response;
     }
@@ -235,7 +295,7 @@
         }
         // A fault of ours: what was taken is still owed its answer.
         LOG.log(Level.ERROR, "a client's connection failed", cause);
-        if (held != null) {
+        if (held != null && !held.isAnswered()) {
             held.failed(HttpResponseStatus.INTERNAL_SERVER_ERROR, "internal fault");
         } else {
             channel.close();
--- a/src/main/java/cedarrelay/node/ClientServer.java
+++ b/src/main/java/cedarrelay/node/ClientServer.java
@@ -16,6 +16,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -25,6 +26,9 @@
 
 /** The client side: connections accepted, requests read, and one answer to each, in order. */
 final class ClientServer {
+    /** Of a long answer, this much may wait for a slow client; its server is read on from the lower mark. */
+    private static final int HIGH = 64 * 1024;
+    private static final int LOW = 16 * 1024;
     private static final int BACKLOG = 1_024;
     private static final long ACCEPT_AGAIN_MS = 50;
     private static final long SWEEP_MS = 100;
@@ -79,6 +83,7 @@
         return new ServerBootstrap().group(group).channelFactory(() -> fresh)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, new WriteBufferWaterMark(LOW, HIGH))
                 .handler(new AcceptGuard())
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
@@ -122,9 +127,9 @@
         return rehearsal != null && rehearsal.equals(http.headers().get(Rehearsal.HEADER));
     }
 
-    Exchange exchange(ClientConnection connection, FullHttpRequest http, long arrivedNs, boolean keepAlive)
+    Exchange exchange(ClientConnection connection, FullHttpRequest http, long arrivedNs)
             throws BadRequest {
-        return new Exchange(connection, figures, reader.read(http), arrivedNs, keepAlive);
+        return new Exchange(connection, figures, reader.read(http), arrivedNs, http);
     }
 
     void take(Exchange exchange) {
--- a/src/main/java/cedarrelay/node/Exchange.java
+++ b/src/main/java/cedarrelay/node/Exchange.java
@@ -1,8 +1,16 @@
 package cedarrelay.node;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelFuture;
+import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
 
 /** A request taken and the one answer that it gets. */
 final class Exchange {
@@ -11,16 +19,18 @@
     private final ClientRequest request;
     private final long arrivedNs;
     private final boolean keepAlive;
+    private final boolean takesChunks;
     private Runnable whenGone = () -> { };
     private boolean answered;
 
     Exchange(ClientConnection connection, Figures figures, ClientRequest request, long arrivedNs,
-            boolean keepAlive) {
+            HttpRequest head) {
         this.connection = connection;
         this.figures = figures;
         this.request = request;
         this.arrivedNs = arrivedNs;
-        this.keepAlive = keepAlive;
+        keepAlive = HttpUtil.isKeepAlive(head);
+        takesChunks = head.protocolVersion().isKeepAliveDefault();
     }
 
     ClientRequest request() {
@@ -45,6 +55,36 @@
         answer(response);
     }
 
+    /**
+     * Begins a long answer, of unknown length if that is -1, and says where its parts go. What is told
+     * later is {@link AnswerSink#finish} or {@link #cutOff}.
+     */
+    AnswerSink begin(String contentType, long length, Runnable whenWritable) {
+        answered = true;
+        HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+        if (contentType != null) {
+            response.headers().set(HttpHeaderNames.CONTENT_TYPE, contentType);
+        }
+        if (length >= 0) {
+            response.headers().set(HttpHeaderNames.CONTENT_LENGTH, length);
+        } else if (takesChunks) {
+            response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+        }
+        connection.begin(response, keepAlive && (length >= 0 || takesChunks), whenWritable);
+        return new Flow();
+    }
+
+    /** A long answer will not come whole: its client has to see that. */
+    void cutOff() {
+        figures.ended(request.classIndex(), Figures.End.FAILED);
+        connection.cutOff();
+    }
+
+    /** Whether an answer has been given, or begun. */
+    boolean isAnswered() {
+        return answered;
+    }
+
     /** Trying again is harmless, and best done after so long; 0 gives no advice. */
     void refused(long retryAfterUs) {
         FullHttpResponse response = Responses.plain(HttpResponseStatus.SERVICE_UNAVAILABLE,
@@ -75,8 +115,11 @@
             return;
         }
         answered = true;
-        Figures.End end = Figures.End.of(response.status());
-        connection.answer(response, keepAlive).addListener(written -> {
+        count(connection.answer(response, keepAlive), Figures.End.of(response.status()));
+    }
+
+    private void count(ChannelFuture writing, Figures.End end) {
+        writing.addListener(written -> {
             if (written.isSuccess()) {
                 figures.ended(request.classIndex(), end);
             } else {
@@ -84,4 +127,29 @@
             }
         });
     }
+
+    /** A long answer on its way to the client. */
+    private final class Flow implements AnswerSink {
+        @Override
+        public void write(ByteBuf part) {
+            connection.pass(part);
+        }
+
+        @Override
+        public void flush() {
+            connection.flush();
+        }
+
+        @Override
+        public boolean isWritable() {
+            return connection.isWritable();
+        }
+
+        @Override
+        public void finish() {
+            if (connection.isFlowing()) {
+                count(connection.finish(), Figures.End.SERVED);
+            }
+        }
+    }
 }
--- a/src/main/java/cedarrelay/node/Node.java
+++ b/src/main/java/cedarrelay/node/Node.java
@@ -121,6 +121,7 @@
         private final long untilUs;
         private ServerPool.Attempt attempt;
         private ScheduledFuture<?> timer;
+        private boolean flowing;
         private boolean over;
 
         Sent(Held request, int number, long sentUs, long untilUs) {
@@ -140,6 +141,19 @@
             figures.attempted();
         }
 
+        @Override
+        public AnswerSink begun(String contentType, long length, Runnable whenWritable) {
+            if (request.over) {
+                return AnswerSink.NOBODY;
+            }
+            flowing = true;
+            timer.cancel(false);
+            request.guard.cancel(false);
+            AnswerSink sink = request.exchange.begin(contentType, length, whenWritable);
+            enter(request, () -> balancer.onFirstByte(nowUs(), request.id, number));
+            return sink;
+        }
+
         @Override
         public void ended(Result result, Answer answer) {
             over = true;
@@ -147,8 +161,12 @@
             if (timer != null) {
                 timer.cancel(false);
             }
-            if (result == Result.OK && !request.over) {
-                request.exchange.served(answer);
+            if (!request.over && (result == Result.OK || flowing)) {
+                if (!flowing) {
+                    request.exchange.served(answer);
+                } else if (result != Result.OK) {
+                    request.exchange.cutOff();
+                }
                 request.end();
             }
             request.forgetIfDone();
--- a/src/main/java/cedarrelay/node/ServerPool.java
+++ b/src/main/java/cedarrelay/node/ServerPool.java
@@ -3,7 +3,6 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.Collection;
 import java.util.Deque;
 import java.util.HashMap;
@@ -15,6 +14,7 @@
 import cedarrelay.Balancer.Result;
 import cedarrelay.Balancer.ServerState;
 import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelHandlerContext;
@@ -24,16 +24,9 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestEncoder;
-import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpStatusClass;
-import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.ScheduledFuture;
 
@@ -42,21 +35,36 @@
  * told, once, and reports how that ended; nothing here sends again.
  */
 final class ServerPool {
-    static final int MAX_BODY = 64 * 1024;
-    private static final String TURNED_AWAY = "X-Turned-Away";
     private static final int MAX_LINE = 4_096;
     private static final int MAX_HEADERS = 16_384;
     private static final long SWEEP_MS = 500;
+    /** How long an answer whose length is not known is held in the hope that it is short. */
+    private static final long HOLD_MS = 50;
+    /** A long answer that makes no progress for so long will make none: its end is told to the client. */
+    private static final long STALL_MS = 10_000;
+    /** Read at once from a server, so that little is on its way when a client can't take it. */
+    private static final int MAX_READ = 32 * 1024;
 
     /** Who wants an attempt: what to send, and where to report. */
     interface Caller {
         /** The message, asked for when it goes out. */
-        FullHttpRequest message();
+        HttpRequest message();
 
         /** The system has taken the message's last byte. */
         default void written() { }
 
-        /** The one report on the attempt; the answer is there when the result is OK or ERROR. */
+        /**
+         * The answer is a long one and comes part by part: where to. {@code whenWritable} runs when that
+         * takes more again after it did not. The length is -1 if nobody knows it yet.
+         */
+        default AnswerSink begun(String contentType, long length, Runnable whenWritable) {
+            return AnswerSink.NOBODY;
+        }
+
+        /**
+         * The one report on the attempt; the answer is there when the result is OK or ERROR and it was not
+         * a long one.
+         */
         void ended(Result result, Answer answer);
     }
 
@@ -105,6 +113,7 @@
             }
             Connection used = connection;
             used.attempt = null;
+            used.stopTimers();
             // Its answer may still come: the connection can't carry another request.
             used.channel.close();
             end(used.written ? result : Result.CONNECT_FAILED, null);
@@ -118,6 +127,7 @@
         }
     }
 
+    private final EventLoop loop;
     private final Sockets sockets;
     private final Bootstrap bootstrap;
     private final long keepIdleNs;
@@ -125,12 +135,15 @@
     private final Map<String, Server> servers = new HashMap<>();
 
     ServerPool(EventLoop loop, Sockets sockets, long dialTimeoutUs, long connIdleUs) {
+        this.loop = loop;
         this.sockets = sockets;
         // A request written to a connection that the server is just closing may have run for all we know.
         keepIdleNs = TimeUnit.MICROSECONDS.toNanos(connIdleUs) / 2;
         bootstrap = new Bootstrap().group(loop).disableResolver()
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, dialTimeoutUs / 1_000))
-                .option(ChannelOption.TCP_NODELAY, true);
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.RECVBUF_ALLOCATOR,
+                        new AdaptiveRecvByteBufAllocator(256, 2_048, MAX_READ));
         sockets.serverSide(this::closeOldestIdle);
         sweeper = loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
     }
@@ -284,15 +297,17 @@
         private Attempt attempt;
         private boolean written;
         private long idleSince;
-        private HttpResponse head;
-        private byte[] body = new byte[0];
+        private IncomingAnswer answer;
         private Result result;
         private boolean reusable;
+        private final StallGuard stall;
+        private ScheduledFuture<?> holding;
 
         Connection(Server server, int generation, Channel channel) {
             this.server = server;
             this.generation = generation;
             this.channel = channel;
+            stall = new StallGuard(loop, STALL_MS, () -> attempt.giveUp(Result.TIMEOUT));
         }
 
         /** Carries the first attempt in line, or waits for one. */
@@ -319,8 +334,7 @@
             attempt = next;
             next.connection = this;
             written = false;
-            head = null;
-            body = new byte[0];
+            answer = new IncomingAnswer();
             result = null;
             // The future tells whether the kernel has taken the last byte; Netty never writes it twice.
             channel.writeAndFlush(next.caller.message()).addListener(done -> {
@@ -354,53 +368,53 @@
                 drop();
                 return;
             }
-            if (message instanceof HttpResponse response) {
-                if (response.decoderResult().isFailure() || isCodedUnread(response)) {
-                    broken();
-                    return;
-                }
-                head = response;
+            switch (answer.read((HttpObject) message)) {
+                case BROKEN -> broken();
+                case WHOLE -> whole();
+                case LONG -> flow();
+                default -> partial();
             }
-            if (message instanceof HttpContent content) {
-                if (content.decoderResult().isFailure()
-                        || body.length + content.content().readableBytes() > MAX_BODY) {
-                    broken();
-                    return;
-                }
-                int size = content.content().readableBytes();
-                if (size > 0) {
-                    byte[] longer = Arrays.copyOf(body, body.length + size);
-                    content.content().readBytes(longer, body.length, size);
-                    body = longer;
-                }
-                if (message instanceof LastHttpContent) {
-                    whole();
-                }
+        }
+
+        private void whole() {
+            result = answer.isServed() ? Result.OK : answer.isTurnedAway() ? Result.FULL : Result.ERROR;
+            reusable = answer.leavesConnection() && written;
+        }
+
+        private void partial() {
+            if (answer.sink() != null) {
+                stall.progress();
+                pauseIfFull();
+            } else if (answer.isOpenEnded() && holding == null) {
+                holding = loop.schedule(this::flow, HOLD_MS, TimeUnit.MILLISECONDS);
             }
         }
 
-        /** Whether its body is in a form that is not read here, or it leaves HTTP/1.1, which nobody asked. */
-        private boolean isCodedUnread(HttpResponse response) {
-            return response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)
-                    || response.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING).stream()
-                            .anyMatch(coding -> !HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(coding));
+        /** The answer is long, or may be: what has come of it and what follows is passed on. */
+        private void flow() {
+            stopTimers();
+            answer.flowTo(attempt.caller.begun(answer.contentType(), answer.length(), this::resume));
+            stall.start();
+            pauseIfFull();
         }
 
-        private void whole() {
-            if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
-                head = null;
-                return;
+        private void pauseIfFull() {
+            if (!answer.sink().isWritable()) {
+                channel.config().setAutoRead(false);
             }
-            int status = head.status().code();
-            boolean framed = HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head);
-            boolean away = (status == 503 || status == 504) && "1".equals(head.headers().get(TURNED_AWAY));
-            if (status == 200 && !framed) {
-                // It ended with its connection: a process that died half way looks the same.
-                broken();
-                return;
+        }
+
+        private void resume() {
+            stall.progress();
+            channel.config().setAutoRead(true);
+        }
+
+        private void stopTimers() {
+            stall.stop();
+            if (holding != null) {
+                holding.cancel(false);
+                holding = null;
             }
-            result = status == 200 ? Result.OK : away ? Result.FULL : Result.ERROR;
-            reusable = HttpUtil.isKeepAlive(head) && framed && written;
         }
 
         /** The report waits for the end of what came at once, so that its connection can be used again. */
@@ -408,29 +422,36 @@
         public void channelReadComplete(ChannelHandlerContext ctx) {
             if (result != null) {
                 finish();
+            } else if (attempt != null && answer.sink() != null) {
+                answer.sink().flush();
             }
         }
 
         private void finish() {
             Attempt done = attempt;
-            Answer answer = new Answer(head.status().code(),
-                    head.headers().get(HttpHeaderNames.CONTENT_TYPE), body);
             Result as = result;
+            AnswerSink sink = answer.sink();
+            Answer held = sink == null ? answer.held() : null;
+            stopTimers();
             attempt = null;
             result = null;
-            head = null;
             if (reusable) {
+                channel.config().setAutoRead(true);
                 park();
             } else {
                 channel.close();
             }
-            done.end(as, answer);
+            if (sink != null) {
+                sink.finish();
+            }
+            done.end(as, held);
         }
 
         /** The connection or what came on it is broken: only a request not handed over whole never ran. */
         private void broken() {
             Attempt failed = attempt;
             attempt = null;
+            stopTimers();
             drop();
             if (failed != null) {
                 failed.end(written ? Result.RESET : Result.CONNECT_FAILED, null);
--- /dev/null
+++ b/src/test/java/cedarrelay/node/LongAnswerTest.java
@@ -0,0 +1,311 @@
+package cedarrelay.node;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.EOFException;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+
+import cedarrelay.Balancer.Result;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpVersion;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Answers that are passed on as they come. */
+@Timeout(120)
+class LongAnswerTest {
+    private static final int LENGTH = 300_000;
+    private static final byte[] BODY = body();
+
+    private EventLoopGroup group;
+    private EventLoop loop;
+    private FakePeer discovery;
+    private FakePeer server;
+    private Node node;
+    private Socket client;
+
+    private static byte[] body() {
+        byte[] body = new byte[LENGTH];
+        new SplittableRandom(5).nextBytes(body);
+        return body;
+    }
+
+    @BeforeEach
+    void open() throws Exception {
+        group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        loop = group.next();
+        discovery = new FakePeer(FakePeer.SILENT);
+        server = new FakePeer(FakePeer.SILENT);
+        Config config = Config.read(Map.of("LB_CONFIG",
+                Fixture.write(Fixture.config(discovery, server)).toString()));
+        node = loop.submit(() -> new Node(config, loop)).get();
+        InetSocketAddress address = (InetSocketAddress) loop.submit(() -> node.start(group, 8)).get().sync()
+                .getNow().localAddress();
+        client = new Socket("127.0.0.1", address.getPort());
+        client.setSoTimeout((int) TimeUnit.SECONDS.toMillis(FakePeer.PATIENCE_S));
+    }
+
+    @AfterEach
+    void close() throws Exception {
+        client.close();
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
+        discovery.close();
+        server.close();
+    }
+
+    /** Asks, and has the server answer with this head and what its caller writes then. */
+    private Socket ask(String request, String head) throws Exception {
+        FakePeer.write(client, request);
+        server.nextRequest();
+        Socket attempt = FakePeer.soon(server.accepted);
+        FakePeer.write(attempt, head);
+        return attempt;
+    }
+
+    private static String get(long id) {
+        return Fixture.request("GET", "/view", id, "", "");
+    }
+
+    private static void write(Socket to, int from, int end) throws IOException {
+        to.getOutputStream().write(BODY, from, end - from);
+    }
+
+    private static String head(Socket from) throws IOException {
+        StringBuilder text = new StringBuilder();
+        while (text.indexOf("\r\n\r\n") < 0) {
+            int b = from.getInputStream().read();
+            if (b < 0) {
+                throw new EOFException(text.toString());
+            }
+            text.append((char) b);
+        }
+        return text.toString();
+    }
+
+    /** A chunked body, or EOFException if it is not whole. */
+    private static byte[] chunks(Socket from) throws IOException {
+        ByteArrayOutputStream whole = new ByteArrayOutputStream();
+        InputStream in = from.getInputStream();
+        while (true) {
+            StringBuilder size = new StringBuilder();
+            while (size.indexOf("\r\n") < 0) {
+                int b = in.read();
+                if (b < 0) {
+                    throw new EOFException();
+                }
+                size.append((char) b);
+            }
+            int length = Integer.parseInt(size.toString().trim(), 16);
+            whole.write(in.readNBytes(length));
+            in.readNBytes(2);
+            if (length == 0) {
+                return whole.toByteArray();
+            }
+        }
+    }
+
+    private void await(String line) {
+        long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(FakePeer.PATIENCE_S);
+        while (!node.figures().text().contains(line + "\n") && System.nanoTime() < until) {
+            Thread.onSpinWait();
+        }
+        assertTrue(node.figures().text().contains(line + "\n"), node.figures().text());
+    }
+
+    @Test
+    void theFirstBytesPassOnBeforeTheLastHaveCome() throws Exception {
+        Socket attempt = ask(get(1), "HTTP/1.1 200 OK\r\nContent-Type: image/x\r\nContent-Length: " + LENGTH
+                + "\r\n\r\n");
+        write(attempt, 0, 1_000);
+        String head = head(client);
+        assertTrue(head.startsWith("HTTP/1.1 200"), head);
+        assertEquals(Integer.toString(LENGTH), FakePeer.header(head, "Content-Length"));
+        assertEquals("image/x", FakePeer.header(head, "Content-Type"));
+        byte[] got = new byte[LENGTH];
+        assertEquals(1_000, client.getInputStream().readNBytes(got, 0, 1_000));
+        await("node.in_flight=1");
+        write(attempt, 1_000, LENGTH);
+        assertEquals(LENGTH - 1_000, client.getInputStream().readNBytes(got, 1_000, LENGTH - 1_000));
+        assertArrayEquals(BODY, got);
+        await("node.requests.view.served=1");
+        await("node.in_flight=0");
+        // Both connections go on.
+        FakePeer.write(client, get(2));
+        server.nextRequest();
+        FakePeer.write(attempt, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+        assertTrue(FakePeer.read(client).endsWith("\r\n\r\nok"));
+    }
+
+    @Test
+    void chunksWithTrailersPassOnAsChunksInOneBytePieces() throws Exception {
+        Socket attempt = ask(get(1), "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n"
+                + "Transfer-Encoding: chunked\r\n\r\n");
+        attempt.setTcpNoDelay(true);
+        for (String piece : "3;ext=1\r\nabc\r\n".split("")) {
+            FakePeer.write(attempt, piece);
+        }
+        // Not over 50 ms later, so it flows: the head is here although the end is not.
+        assertEquals("chunked", FakePeer.header(head(client), "Transfer-Encoding"));
+        FakePeer.write(attempt, Integer.toHexString(LENGTH) + "\r\n");
+        write(attempt, 0, LENGTH);
+        FakePeer.write(attempt, "\r\n0\r\nX-Sum: 1\r\n\r\n");
+        byte[] got = chunks(client);
+        assertEquals("abc", new String(got, 0, 3, StandardCharsets.US_ASCII));
+        assertEquals(LENGTH + 3, got.length);
+        await("node.requests.view.served=1");
+    }
+
+    @Test
+    void anAnswerThatEndsWithItsConnectionIsTakenIfItsHeadSaysSo() throws Exception {
+        Socket attempt = ask(get(1), "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n");
+        write(attempt, 0, LENGTH);
+        attempt.close();
+        assertEquals("chunked", FakePeer.header(head(client), "Transfer-Encoding"));
+        assertArrayEquals(BODY, chunks(client));
+        // For a client that knows no chunks, its own connection's end is the end.
+        FakePeer.write(client, get(2).replace("HTTP/1.1", "HTTP/1.0"));
+        server.nextRequest();
+        Socket second = FakePeer.soon(server.accepted);
+        FakePeer.write(second, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n");
+        write(second, 0, LENGTH);
+        second.close();
+        String head = head(client);
+        assertEquals("close", FakePeer.header(head, "Connection"));
+        assertNull(FakePeer.header(head, "Transfer-Encoding"));
+        assertArrayEquals(BODY, client.getInputStream().readAllBytes());
+    }
+
+    @Test
+    void aCutOffAnswerIsSeenToBeOneAndCountsAsFailed() throws Exception {
+        for (String framing : new String[] {"Content-Length: " + LENGTH + "\r\n\r\n",
+            "Transfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(LENGTH) + "\r\n",
+            "Connection: close\r\n\r\n"}) {
+            Socket attempt = ask(get(framing.length()), "HTTP/1.1 200 OK\r\n" + framing);
+            write(attempt, 0, 100_000);
+            String head = head(client);
+            FakePeer.RESET.run(attempt, "");
+            assertThrows(IOException.class, () -> {
+                if (FakePeer.header(head, "Transfer-Encoding") != null) {
+                    chunks(client);
+                } else if (client.getInputStream().readNBytes(LENGTH).length < LENGTH) {
+                    throw new EOFException();
+                }
+            });
+            int port = client.getPort();
+            client.close();
+            client = new Socket("127.0.0.1", port);
+        }
+        await("node.requests.view.failed=3");
+        assertTrue(server.requests.isEmpty(), "sent again after its client had some of an answer");
+    }
+
+    @Test
+    void anAnswerFramedInTwoWaysIsNotPassedOn() throws Exception {
+        server.script(FakePeer.raw("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n"
+                + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"));
+        FakePeer.write(client, Fixture.request("POST", "/order", 1, "", ""));
+        assertTrue(FakePeer.read(client).startsWith("HTTP/1.1 502"));
+    }
+
+    @Test
+    void aClientThatLeavesEndsTheFlow() throws Exception {
+        Socket attempt = ask(get(1), "HTTP/1.1 200 OK\r\nContent-Length: " + LENGTH + "\r\n\r\n");
+        write(attempt, 0, 100_000);
+        head(client);
+        client.close();
+        assertEquals(attempt, FakePeer.soon(server.ended));
+        await("node.in_flight=0");
+        assertTrue(server.requests.isEmpty(), "sent again for nobody");
+    }
+
+    /** A sink that takes one part and then no more until it is told. */
+    private static final class Narrow implements AnswerSink, ServerPool.Caller {
+        final CountDownLatch begun = new CountDownLatch(1);
+        final CountDownLatch over = new CountDownLatch(1);
+        private volatile Runnable whenWritable;
+        private volatile boolean open;
+        private volatile long got;
+
+        @Override
+        public HttpRequest message() {
+            return new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/x");
+        }
+
+        @Override
+        public AnswerSink begun(String contentType, long length, Runnable resume) {
+            whenWritable = resume;
+            return this;
+        }
+
+        @Override
+        public void write(ByteBuf part) {
+            got += part.readableBytes();
+            part.release();
+            begun.countDown();
+        }
+
+        @Override
+        public void flush() { }
+
+        @Override
+        public boolean isWritable() {
+            return open;
+        }
+
+        @Override
+        public void finish() {
+            over.countDown();
+        }
+
+        @Override
+        public void ended(Result result, Answer answer) { }
+    }
+
+    @Test
+    void aServerIsNotReadWhileItsClientTakesNoMore() throws Exception {
+        int length = 8 << 20;
+        server.script((socket, request) -> {
+            FakePeer.write(socket, "HTTP/1.1 200 OK\r\nContent-Length: " + length + "\r\n\r\n");
+            socket.getOutputStream().write(new byte[length]);
+        });
+        ServerPool pool = loop.submit(() -> new ServerPool(loop, new Sockets(1_024), 300_000, 60_000_000))
+                .get();
+        ServerList list = ServerList.parse(Fixture.list(1, true, "Ready", server));
+        loop.submit(() -> pool.update(list)).get();
+        Narrow sink = new Narrow();
+        loop.submit(() -> pool.start("s-" + server.port(), sink)).get();
+        assertTrue(sink.begun.await(FakePeer.PATIENCE_S, TimeUnit.SECONDS));
+        for (int i = 0; i < 100; i++) {
+            loop.submit(() -> { }).get();
+        }
+        assertTrue(sink.got <= 64 * 1024, "read on: " + sink.got);
+        assertFalse(sink.over.await(0, TimeUnit.SECONDS));
+        sink.open = true;
+        loop.execute(sink.whenWritable);
+        assertTrue(sink.over.await(FakePeer.PATIENCE_S, TimeUnit.SECONDS), "not read on");
+        assertEquals(length, sink.got);
+    }
+}
