--- a/src/main/java/cedarrelay/Balancer.java
+++ b/src/main/java/cedarrelay/Balancer.java
@@ -27,6 +27,21 @@
      */
     void onRequest(long nowUs, Request request);
 
+    /**
+     * A client's request whose body is long and still on its way: it may be sent at once, since a server
+     * begins only with its last byte. Its time is as for {@link #onRequest} until it is sent, and begins
+     * anew with {@link #onUploaded}.
+     *
+     * @throws IllegalArgumentException as for {@link #onRequest}
+     */
+    void onUpload(long nowUs, Request request);
+
+    /** The last byte of such a request has come. Ids that are not held are passed over. */
+    void onUploaded(long nowUs, long requestId);
+
+    /** Part of its body is no longer held: no further attempt can be sent. */
+    void onBodyPassed(long nowUs, long requestId);
+
     /** How one attempt ended. Attempts that are not known are passed over. */
     void onOutcome(long nowUs, Outcome outcome);
 
@@ -50,9 +65,15 @@
 
     /** What the module asks of its node. Calls take effect in order, at the time of the event. */
     interface Actions {
-        /** Start the next attempt of a request (numbered 0, 1, 2 ...), to be given up at {@code untilUs}. */
+        /**
+         * Start the next attempt of a request (numbered 0, 1, 2 ...), to be given up at {@code untilUs};
+         * Long.MAX_VALUE is never.
+         */
         void send(long requestId, String serverId, long untilUs);
 
+        /** Give an attempt up at {@code untilUs}: for one that was sent with no end, while its body came. */
+        void until(long requestId, int attempt, long untilUs);
+
         /** Stop waiting for an attempt; it still gets its outcome. */
         void cancel(long requestId, int attempt);
 
--- a/src/main/java/cedarrelay/ServiceQBalancer.java
+++ b/src/main/java/cedarrelay/ServiceQBalancer.java
@@ -162,7 +162,7 @@
     private long listBackoffUs = LIST_BACKOFF_US;
 
     /** A server as this node knows it. */
-    private static final class Server {
+    static final class Server {
         final String id;
         int zone;
         int cell;
@@ -212,54 +212,6 @@
         }
     }
 
-    /** A request that is held, or whose attempts are still out. */
-    private static final class Call {
-        final Request request;
-        final RequestClass cls;
-        final long arrivedAt;
-        final long aimUs;
-        final long aimAt;
-        final long deadlineAt;
-        final Server[] servers;
-        final long[] sentAt;
-        final Result[] results;
-        double worth;
-        double value;
-        boolean late;
-        int attempts;
-        int outstanding;
-        boolean waiting;
-        boolean asking;
-        int asksOut;
-        long decideAt;
-        boolean streaming;
-        boolean passing;
-        boolean ended;
-
-        Call(Request request, Settings set, long now, long elapsedUs) {
-            this.request = request;
-            cls = set.classes.get(request.classIndex());
-            long aim = Math.min(cls.deadlineUs(), cls.aimUs() + (long) (cls.aimStretch() * request.workUs()));
-            arrivedAt = now;
-            deadlineAt = now + Math.max(0, request.leftUs());
-            aimUs = aim;
-            aimAt = Math.min(deadlineAt, now + aim - elapsedUs);
-            servers = new Server[set.maxAttempts];
-            sentAt = new long[set.maxAttempts];
-            results = new Result[set.maxAttempts];
-        }
-
-        /** The earliest attempt not known never to have run, or -1: it binds repeats and refusals. */
-        int binding() {
-            for (int i = 0; i < attempts; i++) {
-                if (results[i] == null || !results[i].neverRan) {
-                    return i;
-                }
-            }
-            return -1;
-        }
-    }
-
     /**
      * A node that has just started and knows nothing.
      *
@@ -364,6 +316,15 @@
 
     @Override
     public void onRequest(long nowUs, Request request) {
+        take(nowUs, request, false);
+    }
+
+    @Override
+    public void onUpload(long nowUs, Request request) {
+        take(nowUs, request, true);
+    }
+
+    private void take(long nowUs, Request request, boolean uploading) {
         now = nowUs;
         if (request.classIndex() < 0 || request.classIndex() >= set.classes.size()
                 || request.tenant() >= set.tenants.size() || calls.containsKey(request.id())) {
@@ -371,6 +332,7 @@
         }
         long elapsedUs = elapsedBefore(request);
         Call call = new Call(request, set, now, elapsedUs);
+        call.uploading = uploading;
         calls.put(request.id(), call);
         // By first tries: in a jam clients' retries multiply what is asked.
         sendTokens = Math.min(MOST_TOKENS, sendTokens + (elapsedUs == 0 ? THROTTLE_FLOOR : 0));
@@ -385,6 +347,33 @@
         scheduleWake();
     }
 
+    @Override
+    public void onUploaded(long nowUs, long requestId) {
+        now = nowUs;
+        Call call = calls.get(requestId);
+        if (call == null || !call.uploading) {
+            return;
+        }
+        call.beginAnew(now);
+        int attempt = call.attempts - 1;
+        if (call.outstanding > 0) {
+            call.sentAt[attempt] = now;
+            occupy(call.servers[attempt], 1);
+            if (!call.ended) {
+                out.until(requestId, attempt, attemptEnd(call));
+            }
+        }
+    }
+
+    @Override
+    public void onBodyPassed(long nowUs, long requestId) {
+        now = nowUs;
+        Call call = calls.get(requestId);
+        if (call != null) {
+            call.bodyPassed = true;
+        }
+    }
+
     /** Sends a request by the draw, or lets it wait. */
     private void place(Call call) {
         Server server = waiting.isEmpty() && now < call.deadlineAt ? drawForFirstTry(call) : null;
@@ -454,8 +443,7 @@
     private void learn(Call call, int attempt, Outcome outcome) {
         Server server = call.servers[attempt];
         Result result = outcome.result();
-        server.inFlight--;
-        inFlight -= isCounted(server) ? 1 : 0;
+        occupy(server, call.uploading ? 0 : -1);
         if (result == Result.OK) {
             succeeded(server);
         } else if (result != Result.CANCELLED && result != Result.MOOT) {
@@ -1073,8 +1061,8 @@
         call.servers[attempt] = server;
         call.sentAt[attempt] = now;
         call.outstanding++;
-        server.inFlight++;
-        inFlight += isCounted(server) ? 1 : 0;
+        // What is still on its way takes none of a server's work.
+        occupy(server, call.uploading ? 0 : 1);
         // Gaps are counted from the first request on, not from the start of the clock.
         lastServedAt = lastServedAt == 0 ? now : lastServedAt;
         if (isCold(server)) {
@@ -1084,12 +1072,18 @@
         out.send(call.request.id(), server.id, attemptEnd(call));
     }
 
+    private void occupy(Server server, int more) {
+        server.inFlight += more;
+        inFlight += isCounted(server) ? more : 0;
+    }
+
     /**
      * Until when an attempt may run. Exception, time-out at the aim: where a late answer earns nothing and
      * a failure does not bring the client back, an attempt past its aim only keeps its server from others.
      */
     private long attemptEnd(Call call) {
-        return call.cls.lateWorth() > 0 || clientRepeats(call.cls) || call.cls.stream()
+        return call.uploading ? Long.MAX_VALUE
+                : call.cls.lateWorth() > 0 || clientRepeats(call.cls) || call.cls.stream()
                 ? call.deadlineAt : call.aimAt;
     }
 
@@ -1137,7 +1131,7 @@
     /** Rule 2: whether any further attempt could be lawful, wherever it goes. */
     private boolean mayTryAgain(Call call) {
         if (call.attempts >= set.maxAttempts || now >= call.deadlineAt || call.streaming
-                || isWorthless(call)) {
+                || call.bodyPassed || isWorthless(call)) {
             return false;
         }
         int binding = call.binding();
--- a/src/main/java/cedarrelay/benchlink/Reply.java
+++ b/src/main/java/cedarrelay/benchlink/Reply.java
@@ -42,6 +42,11 @@
         close();
     }
 
+    @Override
+    public void until(long requestId, int attempt, long untilUs) {
+        throw new UnsupportedOperationException("requests come whole on this wire");
+    }
+
     @Override
     public void cancel(long requestId, int attempt) {
         open("abort_attempt");
--- /dev/null
+++ b/src/main/java/cedarrelay/node/BodyWriter.java
@@ -0,0 +1,50 @@
+package cedarrelay.node;
+
+import java.util.function.Consumer;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.LastHttpContent;
+
+/** Writes a request's body to a server, as it comes and as fast as the server takes it. */
+final class BodyWriter {
+    private final Channel channel;
+    private final Body body;
+    private final Consumer<ChannelFuture> whenLast;
+    private boolean over;
+
+    /** {@code whenLast} gets the writing of the last byte. */
+    BodyWriter(Channel channel, Body body, Consumer<ChannelFuture> whenLast) {
+        this.channel = channel;
+        this.body = body;
+        this.whenLast = whenLast;
+    }
+
+    void start() {
+        body.rewind(this::pump);
+        pump();
+    }
+
+    /** Writes what there is; to be called again when the channel has room. */
+    void pump() {
+        ByteBuf part = !over && channel.isWritable() ? body.next() : null;
+        while (part != null) {
+            channel.write(new DefaultHttpContent(part));
+            part = !over && channel.isWritable() ? body.next() : null;
+        }
+        if (!over && body.isReadUp()) {
+            close();
+            whenLast.accept(channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
+        } else {
+            channel.flush();
+        }
+    }
+
+    /** Writes no more. */
+    void close() {
+        over = true;
+        body.stopReading();
+    }
+}
--- a/src/main/java/cedarrelay/node/ClientConnection.java
+++ b/src/main/java/cedarrelay/node/ClientConnection.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
@@ -16,18 +17,17 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.DefaultHttpContent;
-import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
-import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
@@ -37,26 +37,60 @@
 /** One client's connection; it holds at most one request at a time. */
 final class ClientConnection extends ChannelInboundHandlerAdapter {
     private static final Logger LOG = System.getLogger(ClientConnection.class.getName());
-    private static final int MAX_BODY = 64 * 1024;
+    /** Bodies reach 32 MB; one well past that is no client's. */
+    private static final long MAX_BODY = 40L << 20;
+    /** Of a body that goes nowhere, so much is read for the sake of its connection. */
+    private static final int MAX_SKIPPED = 64 * 1024;
     private static final int MAX_LINE = 8_192;
     private static final int MAX_HEADERS = 16_384;
-    /** Requests that a client may send ahead of its answers before it is no longer read. */
-    private static final int MOST_AHEAD = 16;
     /** How long a client may take to read the reason why its connection is closed. */
     private static final long LINGER_MS = 1_000;
-    /** How long a connection may take to its first request, and a request to come whole. No client's does:
-     * it would have given up. */
-    private static final long REQUEST_WITHIN_MS = 2_000;
+    /** How long a connection may take to its first request, and a request to come: a head may take 2 s, and
+     * a peer that sends none has to be told so within 3 s. A body may take longer if it keeps coming ... */
+    private static final long REQUEST_WITHIN_MS = 2_600;
+    /** ... at a quarter of the slowest client's pace or more, looked at over at least so long. */
+    private static final long LEAST_BYTES_PER_S = 16 * 1024;
+    private static final long PACE_OVER_MS = 700;
     /** How long a new connection is left alone while clients are sent away. */
     private static final long FIRST_WITHIN_MS = 400;
     private static final String READY = "/ready";
 
-    /** A request read while an earlier one on its connection still waits for its answer. */
-    private record Ahead(FullHttpRequest http, long arrivedNs) { }
+    /** Something read while an earlier request still waits for its answer. */
+    private record Ahead(HttpObject message, long arrivedNs) { }
+
+    /** A request whose head has come and whose end has not. */
+    private static final class Incoming {
+        final HttpRequest head;
+        /** What becomes of it, or null if it is answered here. */
+        Exchange exchange;
+        /** Why it can't be taken, or null. */
+        BadRequest fault;
+        long received;
+        long paceBytes;
+        long paceSince = System.nanoTime();
+
+        Incoming(HttpRequest head) {
+            this.head = head;
+        }
+
+        /** Whether its body comes slower than any client's would; {@code read} tells if it could come. */
+        boolean isSlow(long now, boolean read) {
+            long over = now - paceSince;
+            if (over < TimeUnit.MILLISECONDS.toNanos(PACE_OVER_MS)) {
+                return false;
+            }
+            boolean slow = read && TimeUnit.SECONDS.toNanos(received - paceBytes) < LEAST_BYTES_PER_S * over;
+            paceBytes = received;
+            paceSince = now;
+            return slow;
+        }
+    }
 
     private final ClientServer server;
     private final Channel channel;
     private final Deque<Ahead> ahead = new ArrayDeque<>();
+    private Incoming incoming;
+    private boolean headOnly;
     private Exchange held;
     private int unwritten;
     private boolean ending;
@@ -76,8 +110,8 @@
 
     /** Sets up its pipeline. */
     void open(ChannelPipeline pipeline) {
-        pipeline.addLast(new ByteWatch(), new HttpServerCodec(MAX_LINE, MAX_HEADERS, 8_192),
-                new BodyReader(), this);
+        pipeline.addLast(new ByteWatch(), new RequestDecoder(MAX_LINE, MAX_HEADERS),
+                new HttpResponseEncoder(), this);
     }
 
     void close() {
@@ -85,12 +119,15 @@
     }
 
     boolean isIdle() {
-        return held == null && unwritten == 0 && ahead.isEmpty();
+        return held == null && incoming == null && unwritten == 0 && ahead.isEmpty();
     }
 
     boolean isOverdue(long now) {
-        return awaited && !ending && isIdle()
-                && now - awaitedSince >= TimeUnit.MILLISECONDS.toNanos(REQUEST_WITHIN_MS);
+        if (!awaited || ending || unwritten > 0 || isBehind()
+                || now - awaitedSince < TimeUnit.MILLISECONDS.toNanos(REQUEST_WITHIN_MS)) {
+            return false;
+        }
+        return incoming == null || incoming.isSlow(now, channel.config().isAutoRead());
     }
 
     /** Whether it can be closed with no request lost, unless one is on its way this moment. */
@@ -99,6 +136,11 @@
                 || now - awaitedSince >= TimeUnit.MILLISECONDS.toNanos(FIRST_WITHIN_MS));
     }
 
+    /** Whether what comes now has to wait for the answer to an earlier request. */
+    private boolean isBehind() {
+        return !ahead.isEmpty() || held != null && incoming == null;
+    }
+
     private void await() {
         if (!awaited) {
             awaited = true;
@@ -115,12 +157,18 @@
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         server.closed(this);
-        ahead.forEach(a -> a.http.release());
+        ahead.forEach(a -> ReferenceCountUtil.release(a.message));
         ahead.clear();
-        if (held != null) {
-            Exchange left = held;
-            held = null;
-            flow = null;
+        drop();
+    }
+
+    /** Whatever has come of a request goes no further. */
+    private void drop() {
+        Exchange left = held != null || incoming == null ? held : incoming.exchange;
+        held = null;
+        incoming = null;
+        flow = null;
+        if (left != null) {
             left.gone();
         }
     }
@@ -128,46 +176,121 @@
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
         long now = System.nanoTime();
-        if (ending || !(message instanceof FullHttpRequest http)) {
+        if (ending || !(message instanceof HttpObject object)) {
             ReferenceCountUtil.release(message);
-            return;
-        }
-        awaited = false;
-        begun = false;
-        server.heardFrom(this);
-        if (held != null || !ahead.isEmpty()) {
-            ahead.add(new Ahead(http, now));
-            channel.config().setAutoRead(ahead.size() < MOST_AHEAD);
-            return;
+        } else if (isBehind()) {
+            ahead.add(new Ahead(object, now));
+            updateReading();
+        } else {
+            read(object, now);
         }
-        take(http, now);
     }
 
-    private void take(FullHttpRequest http, long arrivedNs) {
+    private void read(HttpObject message, long now) {
         try {
-            if (http.decoderResult().isFailure()) {
-                reject(malformed(http.decoderResult().cause()));
+            if (message.decoderResult().isFailure()) {
+                reject(malformed(message.decoderResult().cause()));
                 return;
             }
-            boolean keepAlive = HttpUtil.isKeepAlive(http);
-            if (http.uri().equals(READY)) {
-                answer(ready(http), keepAlive);
-                return;
+            if (message instanceof HttpRequest head) {
+                begin(head);
             }
-            if (server.isRehearsed(http)) {
-                answer(Responses.plain(HttpResponseStatus.OK, "rehearsed"), keepAlive);
-                return;
+            if (message instanceof HttpContent content && incoming != null) {
+                body(content.content());
+                if (incoming != null && message instanceof LastHttpContent) {
+                    whole(now);
+                }
             }
-            held = server.exchange(this, http, arrivedNs);
-            server.take(held);
-        } catch (BadRequest e) {
-            answer(Responses.bad(e), HttpUtil.isKeepAlive(http));
         } finally {
-            http.release();
+            ReferenceCountUtil.release(message);
+        }
+    }
+
+    private void begin(HttpRequest head) {
+        incoming = new Incoming(head);
+        headOnly = head.method().equals(HttpMethod.HEAD);
+        boolean expects = head.headers().contains(HttpHeaderNames.EXPECT);
+        boolean larger = HttpUtil.getContentLength(head, 0L) > MAX_BODY;
+        try {
+            if (larger) {
+                throw tooLarge();
+            }
+            if (RequestDecoder.isCodedUnread(head)) {
+                throw new BadRequest(HttpResponseStatus.BAD_REQUEST, "unknown transfer coding");
+            }
+            if (expects && !HttpUtil.is100ContinueExpected(head)) {
+                throw new BadRequest(HttpResponseStatus.EXPECTATION_FAILED, "unknown expectation");
+            }
+            if (!head.uri().equals(READY) && !server.isRehearsed(head)) {
+                incoming.exchange = server.exchange(this, head);
+            }
+            if (expects) {
+                channel.writeAndFlush(Responses.of(HttpResponseStatus.CONTINUE));
+            }
+        } catch (BadRequest e) {
+            incoming.fault = e;
+            if (expects || larger) {
+                // What would follow is not worth its way.
+                reject(e);
+            }
+        }
+    }
+
+    private static BadRequest tooLarge() {
+        return new BadRequest(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body over 40 MiB");
+    }
+
+    private void body(ByteBuf part) {
+        incoming.received += part.readableBytes();
+        Exchange exchange = incoming.exchange;
+        if (exchange == null) {
+            if (incoming.received > MAX_SKIPPED) {
+                reject(incoming.fault == null ? tooLarge() : incoming.fault);
+            }
+            return;
+        }
+        if (incoming.received > MAX_BODY) {
+            reject(tooLarge());
+            return;
         }
+        exchange.request().body().add(part);
+        if (held == null && exchange.request().body().isLong()) {
+            held = exchange;
+            server.take(exchange);
+        }
+        updateReading();
+    }
+
+    /** Reads on unless something has to be done with what has come first. */
+    void updateReading() {
+        boolean full = incoming != null && incoming.exchange != null
+                && incoming.exchange.request().body().isFull();
+        channel.config().setAutoRead(ahead.isEmpty() && !full);
     }
 
-    private FullHttpResponse ready(FullHttpRequest http) {
+    private void whole(long now) {
+        Incoming done = incoming;
+        incoming = null;
+        awaited = false;
+        begun = false;
+        server.heardFrom(this);
+        if (done.exchange != null) {
+            boolean taken = held != null;
+            held = done.exchange;
+            held.arrived(now);
+            if (!taken) {
+                server.take(held);
+            }
+        } else if (done.fault != null) {
+            answer(Responses.bad(done.fault), HttpUtil.isKeepAlive(done.head));
+        } else if (done.head.uri().equals(READY)) {
+            answer(ready(done.head), HttpUtil.isKeepAlive(done.head));
+        } else {
+            answer(Responses.plain(HttpResponseStatus.OK, "rehearsed"), HttpUtil.isKeepAlive(done.head));
+        }
+    }
+
+    private FullHttpResponse ready(HttpRequest http) {
         if (!http.method().equals(HttpMethod.GET)) {
             return Responses.bad(new BadRequest(HttpResponseStatus.METHOD_NOT_ALLOWED, "use GET"));
         }
@@ -187,17 +310,25 @@
         return new BadRequest(HttpResponseStatus.BAD_REQUEST, "malformed HTTP");
     }
 
-    /** Nothing that follows on the connection can be understood; what is held is answered first. */
+    /**
+     * Nothing that follows on the connection can be understood. A request that has come whole is answered
+     * first; one that has not is given up, and no server has all of it.
+     */
     void reject(BadRequest e) {
-        if (held != null || ending) {
+        if (ending || held != null && incoming == null) {
             ending = true;
             return;
         }
+        drop();
         ending = true;
         unwritten++;
-        channel.writeAndFlush(closing(Responses.bad(e))).addListener(written -> {
-            unwritten--;
-            // Closed at once, what is still unread would make the system throw the answer away.
+        linger(channel.writeAndFlush(closing(Responses.bad(e))).addListener(written -> unwritten--));
+    }
+
+    /** Closed at once, what is still unread would make the system throw the answer away. */
+    private ChannelFuture linger(ChannelFuture writing) {
+        channel.config().setAutoRead(true);
+        return writing.addListener(written -> {
             if (channel instanceof SocketChannel socket) {
                 socket.shutdownOutput();
             }
@@ -207,11 +338,13 @@
 
     ChannelFuture answer(FullHttpResponse response, boolean keepAlive) {
         boolean keep = isKept(keepAlive);
-        return ended(channel.writeAndFlush(keep ? response : closing(response)), keep);
+        FullHttpResponse shown = headOnly ? response.replace(Unpooled.EMPTY_BUFFER) : response;
+        return ended(channel.writeAndFlush(keep ? shown : closing(shown)), keep);
     }
 
     private boolean isKept(boolean keepAlive) {
-        return keepAlive && !ending && (!server.lifecycle().isLeaving() || !ahead.isEmpty());
+        return keepAlive && !ending && incoming == null
+                && (!server.lifecycle().isLeaving() || !ahead.isEmpty());
     }
 
     /** Writes the head of a long answer; its parts follow, and then its end. */
@@ -259,12 +392,15 @@
     }
 
     private ChannelFuture ended(ChannelFuture writing, boolean keep) {
+        boolean cut = incoming != null;
         held = null;
+        incoming = null;
+        awaitedSince = System.nanoTime();
         unwritten++;
         writing.addListener(written -> unwritten--);
         if (!keep) {
             ending = true;
-            return writing.addListener(ChannelFutureListener.CLOSE);
+            return cut ? linger(writing) : writing.addListener(ChannelFutureListener.CLOSE);
         }
         if (!ahead.isEmpty()) {
             // Later, not from here: a long line of requests that can't be taken would go as deep.
@@ -274,11 +410,11 @@
     }
 
     private void takeAhead() {
-        Ahead next = held == null && !ending ? ahead.poll() : null;
-        if (next != null) {
-            channel.config().setAutoRead(true);
-            take(next.http, next.arrivedNs);
+        while (!ahead.isEmpty() && !ending && (held == null || incoming != null)) {
+            Ahead next = ahead.poll();
+            read(next.message, next.arrivedNs);
         }
+        updateReading();
     }
 
     private static <T extends HttpResponse> T closing(T response) {
@@ -289,7 +425,7 @@
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         // The client has gone, in the middle of a request perhaps: that is its right.
-        if (cause instanceof IOException || cause instanceof PrematureChannelClosureException) {
+        if (cause instanceof IOException) {
             channel.close();
             return;
         }
@@ -311,17 +447,4 @@
             ctx.fireChannelRead(message);
         }
     }
-
-    /** Reads a request whole; one that is too large is told so and its connection closed. */
-    private static final class BodyReader extends HttpObjectAggregator {
-        BodyReader() {
-            super(MAX_BODY, true);
-        }
-
-        @Override
-        protected void handleOversizedMessage(ChannelHandlerContext ctx, HttpMessage oversized) {
-            ctx.pipeline().get(ClientConnection.class).reject(
-                    new BadRequest(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body over 64 KiB"));
-        }
-    }
 }
--- a/src/main/java/cedarrelay/node/ClientRequest.java
+++ b/src/main/java/cedarrelay/node/ClientRequest.java
@@ -6,15 +6,16 @@
 import cedarrelay.Balancer.Repeat;
 import cedarrelay.Balancer.RequestClass;
 import cedarrelay.Balancer.Settings;
-import io.netty.buffer.ByteBufUtil;
-import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
-import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 
 /**
@@ -23,9 +24,10 @@
  * @param id its {@code X-Txn}
  * @param remainingUs how long the client waits, counted from when it sent the request
  * @param headers what goes on to a server: all but what belongs to the client's connection
+ * @param declared the length of its body as its head gives it, or -1
  */
 record ClientRequest(long id, int classIndex, int tenant, long remainingUs, long workUs, boolean retry,
-        HttpMethod method, String uri, HttpHeaders headers, byte[] body) {
+        HttpMethod method, String uri, HttpHeaders headers, long declared, Body body) {
 
     static final String REMAINING = "X-Remaining-Ms";
     private static final String ID = "X-Txn";
@@ -39,14 +41,18 @@
         HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderNames.UPGRADE, HttpHeaderNames.EXPECT,
         HttpHeaderNames.CONTENT_LENGTH, REMAINING};
 
-    /** The message for a server that is waited for so long. */
-    FullHttpRequest forServer(long waitUs) {
-        FullHttpRequest message = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, uri,
-                Unpooled.wrappedBuffer(body), headers.copy(),
-                DefaultHttpHeadersFactory.trailersFactory().newEmptyHeaders());
+    /** The message for a server that is waited for so long; its head alone while the body is on its way. */
+    HttpRequest forServer(long waitUs) {
+        HttpRequest message = body.isComplete()
+                ? new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, uri, body.whole(), headers.copy(),
+                        DefaultHttpHeadersFactory.trailersFactory().newEmptyHeaders())
+                : new DefaultHttpRequest(HttpVersion.HTTP_1_1, method, uri, headers.copy());
         message.headers().set(REMAINING, Math.max(1, waitUs / 1_000));
-        if (body.length > 0 || method.equals(HttpMethod.POST)) {
-            message.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
+        if (!body.isComplete() && declared < 0) {
+            message.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+        } else if (!body.isComplete() || body.length() > 0 || method.equals(HttpMethod.POST)) {
+            message.headers().set(HttpHeaderNames.CONTENT_LENGTH,
+                    body.isComplete() ? body.length() : declared);
         }
         return message;
     }
@@ -63,7 +69,7 @@
             settings.tenants.forEach(t -> tenants.put(t.name(), tenants.size()));
         }
 
-        ClientRequest read(FullHttpRequest http) throws BadRequest {
+        ClientRequest read(HttpRequest http, Body body) throws BadRequest {
             HttpHeaders headers = http.headers();
             Integer classIndex = classes.get(className(http.uri()));
             if (classIndex == null) {
@@ -102,7 +108,7 @@
             }
             return new ClientRequest(id(headers), classIndex, tenant, 1_000 * remainingMs, workUs,
                     "1".equals(headers.get(RETRY)), method, http.uri(), onward,
-                    ByteBufUtil.getBytes(http.content()));
+                    HttpUtil.getContentLength(http, -1L), body);
         }
 
         private static String className(String uri) {
--- a/src/main/java/cedarrelay/node/ClientServer.java
+++ b/src/main/java/cedarrelay/node/ClientServer.java
@@ -8,6 +8,7 @@
 import java.util.function.Consumer;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -19,16 +20,14 @@
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.util.concurrent.ScheduledFuture;
 
 /** The client side: connections accepted, requests read, and one answer to each, in order. */
 final class ClientServer {
-    /** Of a long answer, this much may wait for a slow client; its server is read on from the lower mark. */
-    private static final int HIGH = 64 * 1024;
-    private static final int LOW = 16 * 1024;
+    /** Of a long body, this much may wait for a slow receiver; its sender is read on from the lower mark. */
+    static final WriteBufferWaterMark WATER_MARK = new WriteBufferWaterMark(16 * 1024, 64 * 1024);
     private static final int BACKLOG = 1_024;
     private static final long ACCEPT_AGAIN_MS = 50;
     private static final long SWEEP_MS = 100;
@@ -42,6 +41,7 @@
     private final Lifecycle lifecycle;
     private final Figures figures;
     private final Consumer<Exchange> taker;
+    private final BodyBudget budget = new BodyBudget();
     /** Open connections; those heard from most recently last. */
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
     private final ScheduledFuture<?> sweeper;
@@ -83,7 +83,9 @@
         return new ServerBootstrap().group(group).channelFactory(() -> fresh)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
-                .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, new WriteBufferWaterMark(LOW, HIGH))
+                .childOption(ChannelOption.RECVBUF_ALLOCATOR,
+                        new AdaptiveRecvByteBufAllocator(256, 2_048, ServerPool.MAX_READ))
+                .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WATER_MARK)
                 .handler(new AcceptGuard())
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
@@ -127,13 +129,12 @@
         return rehearsal != null && rehearsal.equals(http.headers().get(Rehearsal.HEADER));
     }
 
-    Exchange exchange(ClientConnection connection, FullHttpRequest http, long arrivedNs)
-            throws BadRequest {
-        return new Exchange(connection, figures, reader.read(http), arrivedNs, http);
+    /** Reads a request's head; nothing has been taken yet. */
+    Exchange exchange(ClientConnection connection, HttpRequest head) throws BadRequest {
+        return new Exchange(connection, figures, reader.read(head, new Body(budget)), head);
     }
 
     void take(Exchange exchange) {
-        figures.taken();
         taker.accept(exchange);
     }
 
--- a/src/main/java/cedarrelay/node/Exchange.java
+++ b/src/main/java/cedarrelay/node/Exchange.java
@@ -17,20 +17,22 @@
     private final ClientConnection connection;
     private final Figures figures;
     private final ClientRequest request;
-    private final long arrivedNs;
     private final boolean keepAlive;
     private final boolean takesChunks;
     private Runnable whenGone = () -> { };
+    private Runnable whenWhole = () -> { };
+    private Runnable whenSpent = () -> { };
+    private long arrivedNs;
+    private boolean whole;
     private boolean answered;
 
-    Exchange(ClientConnection connection, Figures figures, ClientRequest request, long arrivedNs,
-            HttpRequest head) {
+    Exchange(ClientConnection connection, Figures figures, ClientRequest request, HttpRequest head) {
         this.connection = connection;
         this.figures = figures;
         this.request = request;
-        this.arrivedNs = arrivedNs;
         keepAlive = HttpUtil.isKeepAlive(head);
         takesChunks = head.protocolVersion().isKeepAliveDefault();
+        request.body().client(connection::updateReading, () -> whenSpent.run());
     }
 
     ClientRequest request() {
@@ -42,6 +44,26 @@
         return arrivedNs;
     }
 
+    /** Its last byte has come. */
+    void arrived(long ns) {
+        arrivedNs = ns;
+        whole = true;
+        figures.taken();
+        request.body().complete();
+        whenWhole.run();
+    }
+
+    /** Whether its last byte has come. */
+    boolean isWhole() {
+        return whole;
+    }
+
+    /** What to do when its last byte comes, and when part of its body is no longer held. */
+    void upload(Runnable onWhole, Runnable onSpent) {
+        whenWhole = onWhole;
+        whenSpent = onSpent;
+    }
+
     /** What to do if the client leaves before its answer. */
     void whenGone(Runnable action) {
         whenGone = action;
@@ -61,6 +83,7 @@
      */
     AnswerSink begin(String contentType, long length, Runnable whenWritable) {
         answered = true;
+        request.body().close();
         HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
         if (contentType != null) {
             response.headers().set(HttpHeaderNames.CONTENT_TYPE, contentType);
@@ -77,6 +100,7 @@
     /** A long answer will not come whole: its client has to see that. */
     void cutOff() {
         figures.ended(request.classIndex(), Figures.End.FAILED);
+        left();
         connection.cutOff();
     }
 
@@ -105,25 +129,32 @@
     /** The client has left: whatever comes now has nobody to go to. */
     void gone() {
         answered = true;
-        figures.abandoned();
+        left();
+        request.body().close();
         whenGone.run();
     }
 
+    private void left() {
+        if (whole) {
+            figures.left();
+        }
+    }
+
     private void answer(FullHttpResponse response) {
         if (answered) {
             response.release();
             return;
         }
         answered = true;
+        request.body().close();
         count(connection.answer(response, keepAlive), Figures.End.of(response.status()));
     }
 
     private void count(ChannelFuture writing, Figures.End end) {
         writing.addListener(written -> {
+            left();
             if (written.isSuccess()) {
                 figures.ended(request.classIndex(), end);
-            } else {
-                figures.abandoned();
             }
         });
     }
--- a/src/main/java/cedarrelay/node/Figures.java
+++ b/src/main/java/cedarrelay/node/Figures.java
@@ -44,11 +44,10 @@
     /** The last byte of its answer has been written. */
     void ended(int classIndex, End end) {
         ended.getAndIncrement(classIndex * ENDS.length + end.ordinal());
-        inFlight.getAndDecrement();
     }
 
-    /** Its client has left before that. */
-    void abandoned() {
+    /** One that had come whole is over, answered or not. */
+    void left() {
         inFlight.getAndDecrement();
     }
 
--- a/src/main/java/cedarrelay/node/Node.java
+++ b/src/main/java/cedarrelay/node/Node.java
@@ -29,6 +29,7 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.Promise;
@@ -82,22 +83,31 @@
     private final class Held {
         private final Exchange exchange;
         private final long id;
-        private final long deadlineUs;
+        private long deadlineUs = Long.MAX_VALUE;
         private final List<Sent> sent = new ArrayList<>(2);
         private ScheduledFuture<?> guard;
         private int out;
         private boolean over;
 
-        Held(Exchange exchange, long deadlineUs) {
+        Held(Exchange exchange) {
             this.exchange = exchange;
             this.id = exchange.request().id();
-            this.deadlineUs = deadlineUs;
+        }
+
+        /** It has come whole: from here its time runs. */
+        void begin() {
+            long arrivedUs = us(exchange.arrivedNs());
+            long leftUs = exchange.request().remainingUs();
+            deadlineUs = arrivedUs + leftUs - Math.min(ANSWER_MARGIN_US, leftUs / ANSWER_MARGIN_PART);
+            guard = at(arrivedUs + leftUs, () -> expire(this));
         }
 
         /** Nothing is owed any more; what waits for a connection must not be sent. */
         void end() {
             over = true;
-            guard.cancel(false);
+            if (guard != null) {
+                guard.cancel(false);
+            }
             for (Sent attempt : new ArrayList<>(sent)) {
                 if (attempt.attempt != null && !attempt.attempt.isOut()) {
                     attempt.attempt.giveUp(Result.MOOT);
@@ -117,23 +127,36 @@
     private final class Sent implements ServerPool.Caller {
         private final Held request;
         private final int number;
-        private final long sentUs;
-        private final long untilUs;
+        private long sentUs;
+        private long untilUs;
         private ServerPool.Attempt attempt;
         private ScheduledFuture<?> timer;
         private boolean flowing;
         private boolean over;
 
-        Sent(Held request, int number, long sentUs, long untilUs) {
+        Sent(Held request, int number, long sentUs) {
             this.request = request;
             this.number = number;
             this.sentUs = sentUs;
-            this.untilUs = untilUs;
         }
 
         @Override
-        public FullHttpRequest message() {
-            return request.exchange.request().forServer(untilUs - nowUs());
+        public HttpRequest message() {
+            ClientRequest sent = request.exchange.request();
+            return sent.forServer(Math.min(untilUs - nowUs(), sent.remainingUs()));
+        }
+
+        @Override
+        public Body body() {
+            return request.exchange.request().body();
+        }
+
+        /** Gives it up then, if it is still out. */
+        void endAt(long us) {
+            untilUs = Math.min(us, request.deadlineUs);
+            if (untilUs < Long.MAX_VALUE) {
+                timer = at(untilUs, () -> attempt.giveUp(Result.TIMEOUT));
+            }
         }
 
         @Override
@@ -147,8 +170,12 @@
                 return AnswerSink.NOBODY;
             }
             flowing = true;
-            timer.cancel(false);
-            request.guard.cancel(false);
+            if (timer != null) {
+                timer.cancel(false);
+            }
+            if (request.guard != null) {
+                request.guard.cancel(false);
+            }
             AnswerSink sink = request.exchange.begin(contentType, length, whenWritable);
             enter(request, () -> balancer.onFirstByte(nowUs(), request.id, number));
             return sink;
@@ -260,7 +287,7 @@
         if (wake != null) {
             wake.cancel(false);
         }
-        held.values().forEach(h -> h.guard.cancel(false));
+        held.values().forEach(Held::end);
         discovery.close();
         clients.close();
         pool.close();
@@ -342,18 +369,30 @@
             exchange.failed(HttpResponseStatus.CONFLICT, "a request of this id is in hand");
             return;
         }
-        long arrivedUs = us(exchange.arrivedNs());
-        long leftUs = request.remainingUs();
-        Held taken = new Held(exchange,
-                arrivedUs + leftUs - Math.min(ANSWER_MARGIN_US, leftUs / ANSWER_MARGIN_PART));
+        Held taken = new Held(exchange);
         held.put(request.id(), taken);
-        taken.guard = at(arrivedUs + request.remainingUs(), () -> expire(taken));
         exchange.whenGone(() -> leave(taken));
-        enter(taken, () -> {
-            long now = nowUs();
-            balancer.onRequest(now, new Request(request.id(), request.classIndex(), request.tenant(),
-                    Math.max(0, taken.deadlineUs - now), request.workUs(), request.retry()));
-        });
+        if (exchange.isWhole()) {
+            taken.begin();
+            enter(taken, () -> balancer.onRequest(nowUs(), told(taken, taken.deadlineUs - nowUs())));
+        } else {
+            exchange.upload(() -> uploaded(taken), () -> enter(taken,
+                    () -> balancer.onBodyPassed(nowUs(), taken.id)));
+            enter(taken, () -> balancer.onUpload(nowUs(), told(taken, request.remainingUs())));
+        }
+    }
+
+    private static Request told(Held taken, long leftUs) {
+        ClientRequest request = taken.exchange.request();
+        return new Request(request.id(), request.classIndex(), request.tenant(), Math.max(0, leftUs),
+                request.workUs(), request.retry());
+    }
+
+    /** The last byte of a request has come that has been told already. */
+    private void uploaded(Held whole) {
+        whole.begin();
+        whole.sent.forEach(s -> s.sentUs = nowUs());
+        enter(whole, () -> balancer.onUploaded(nowUs(), whole.id));
     }
 
     private void leave(Held left) {
@@ -387,18 +426,26 @@
             return;
         }
         long now = nowUs();
-        long until = untilUs <= 0 ? request.deadlineUs : Math.min(untilUs, request.deadlineUs);
-        Sent sent = new Sent(request, request.sent.size(), now, until);
+        Sent sent = new Sent(request, request.sent.size(), now);
         request.sent.add(sent);
         request.out++;
-        if (request.over || now >= until) {
+        sent.endAt(untilUs <= 0 ? request.deadlineUs : untilUs);
+        if (request.over || now >= sent.untilUs || request.exchange.request().body().isSpent()) {
             sent.ended(Result.MOOT, null);
             return;
         }
-        sent.timer = at(until, () -> sent.attempt.giveUp(Result.TIMEOUT));
         sent.attempt = pool.start(serverId, sent);
     }
 
+    @Override
+    public void until(long requestId, int attempt, long untilUs) {
+        Held request = held.get(requestId);
+        if (request != null && attempt >= 0 && attempt < request.sent.size()
+                && !request.sent.get(attempt).over) {
+            request.sent.get(attempt).endAt(untilUs);
+        }
+    }
+
     @Override
     public void cancel(long requestId, int attempt) {
         Held request = held.get(requestId);
@@ -443,7 +490,7 @@
         ScheduledFuture<?> timer = at(sentUs + PROBE_US, () -> probe[0].giveUp(Result.TIMEOUT));
         probe[0] = pool.start(serverId, new ServerPool.Caller() {
             @Override
-            public FullHttpRequest message() {
+            public HttpRequest message() {
                 FullHttpRequest message = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
                         "/health");
                 message.headers().set(HttpHeaderNames.HOST, "backend.local");
--- a/src/main/java/cedarrelay/node/Responses.java
+++ b/src/main/java/cedarrelay/node/Responses.java
@@ -13,6 +13,11 @@
 final class Responses {
     private Responses() { }
 
+    /** One without a body. */
+    static FullHttpResponse of(HttpResponseStatus status) {
+        return new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
+    }
+
     /** A short reason in words. */
     static FullHttpResponse plain(HttpResponseStatus status, String reason) {
         FullHttpResponse response = of(status, (reason + "\n").getBytes(StandardCharsets.UTF_8));
--- a/src/main/java/cedarrelay/node/ServerPool.java
+++ b/src/main/java/cedarrelay/node/ServerPool.java
@@ -16,6 +16,7 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -24,6 +25,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestEncoder;
@@ -43,13 +45,18 @@
     /** A long answer that makes no progress for so long will make none: its end is told to the client. */
     private static final long STALL_MS = 10_000;
     /** Read at once from a server, so that little is on its way when a client can't take it. */
-    private static final int MAX_READ = 32 * 1024;
+    static final int MAX_READ = 32 * 1024;
 
     /** Who wants an attempt: what to send, and where to report. */
     interface Caller {
-        /** The message, asked for when it goes out. */
+        /** The message, asked for when it goes out: whole, or its head alone if the body follows. */
         HttpRequest message();
 
+        /** The body that follows its head. */
+        default Body body() {
+            throw new IllegalStateException("the message was whole");
+        }
+
         /** The system has taken the message's last byte. */
         default void written() { }
 
@@ -142,6 +149,7 @@
         bootstrap = new Bootstrap().group(loop).disableResolver()
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, dialTimeoutUs / 1_000))
                 .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.WRITE_BUFFER_WATER_MARK, ClientServer.WATER_MARK)
                 .option(ChannelOption.RECVBUF_ALLOCATOR,
                         new AdaptiveRecvByteBufAllocator(256, 2_048, MAX_READ));
         sockets.serverSide(this::closeOldestIdle);
@@ -296,6 +304,8 @@
         private final Channel channel;
         private Attempt attempt;
         private boolean written;
+        /** Writes the body where that follows its head. */
+        private BodyWriter upload;
         private long idleSince;
         private IncomingAnswer answer;
         private Result result;
@@ -334,24 +344,46 @@
             attempt = next;
             next.connection = this;
             written = false;
+            upload = null;
             answer = new IncomingAnswer();
             result = null;
-            // The future tells whether the kernel has taken the last byte; Netty never writes it twice.
-            channel.writeAndFlush(next.caller.message()).addListener(done -> {
-                if (attempt != next) {
+            HttpRequest message = next.caller.message();
+            if (message instanceof FullHttpRequest) {
+                whenWritten(next, channel.writeAndFlush(message));
+                return;
+            }
+            channel.write(message);
+            upload = new BodyWriter(channel, next.caller.body(), last -> whenWritten(next, last));
+            stall.start();
+            upload.start();
+        }
+
+        /** The future tells whether the kernel has taken the last byte; Netty never writes it twice. */
+        private void whenWritten(Attempt sent, ChannelFuture last) {
+            stopTimers();
+            last.addListener(done -> {
+                if (attempt != sent) {
                     return;
                 }
                 if (done.isSuccess()) {
                     written = true;
-                    next.caller.written();
+                    sent.caller.written();
                 } else {
                     attempt = null;
                     channel.close();
-                    next.end(Result.CONNECT_FAILED, null);
+                    sent.end(Result.CONNECT_FAILED, null);
                 }
             });
         }
 
+        @Override
+        public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+            if (upload != null && channel.isWritable()) {
+                stall.progress();
+                upload.pump();
+            }
+        }
+
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object message) {
             try {
@@ -376,7 +408,16 @@
             }
         }
 
+        /** No server has made an answer to what it has not had whole. */
+        private boolean isTooSoon() {
+            return upload != null && !written && answer.isServed();
+        }
+
         private void whole() {
+            if (isTooSoon()) {
+                broken();
+                return;
+            }
             result = answer.isServed() ? Result.OK : answer.isTurnedAway() ? Result.FULL : Result.ERROR;
             reusable = answer.leavesConnection() && written;
         }
@@ -392,6 +433,10 @@
 
         /** The answer is long, or may be: what has come of it and what follows is passed on. */
         private void flow() {
+            if (isTooSoon()) {
+                broken();
+                return;
+            }
             stopTimers();
             answer.flowTo(attempt.caller.begun(answer.contentType(), answer.length(), this::resume));
             stall.start();
@@ -411,6 +456,9 @@
 
         private void stopTimers() {
             stall.stop();
+            if (upload != null && !written) {
+                upload.close();
+            }
             if (holding != null) {
                 holding.cancel(false);
                 holding = null;
--- a/src/test/java/cedarrelay/LongBodiesTest.java
+++ b/src/test/java/cedarrelay/LongBodiesTest.java
@@ -7,6 +7,7 @@
 import java.util.List;
 
 import cedarrelay.Balancer.Outcome;
+import cedarrelay.Balancer.Request;
 import cedarrelay.Balancer.Result;
 import org.junit.jupiter.api.Test;
 
@@ -52,4 +53,64 @@
         assertEquals(List.of(), node.refused);
         assertEquals(List.of(), node.failed);
     }
+
+    private static long upload(Node node, long id) {
+        node.balancer.onUpload(node.now, new Request(id, Node.SAFE, -1, 1_000_000, 0, false));
+        return id;
+    }
+
+    @Test
+    void aRequestOnItsWayTakesNoRoomAndHasNoEndUntilItIsWhole() {
+        Node node = new Node().with(2);
+        long id = upload(node, 500);
+        String server = node.last(id).server();
+        assertEquals(Long.MAX_VALUE, node.last(id).untilUs());
+        // Far past its aim and its deadline it is still on its way, and its server is as free as the other.
+        node.advance(5_000_000);
+        int there = 0;
+        for (int i = 0; i < 40; i++) {
+            there += node.serve(Node.SAFE, Result.OK, 10_000).equals(server) ? 1 : 0;
+        }
+        assertTrue(there > 5 && there < 35, there + " of 40");
+        node.balancer.onUploaded(node.now, id);
+        node.balancer.onUploaded(node.now, id);
+        node.balancer.onUploaded(node.now, 999);
+        assertEquals(List.of(id + "/0 at " + (node.now + 1_000_000)), node.ends);
+        for (int i = 0; i < 10; i++) {
+            assertNotEquals(server, node.serve(Node.SAFE, Result.OK, 10_000), "it is at work now");
+        }
+        // Its time has just begun: a failure goes on to the next server.
+        node.balancer.onOutcome(node.now, new Outcome(id, 0, Result.ERROR, 1_000, false, null));
+        assertEquals(2, node.attempts(id));
+        assertTrue(node.last(id).untilUs() < Long.MAX_VALUE);
+    }
+
+    @Test
+    void whatIsNoLongerHeldIsNotSentAgain() {
+        Node node = new Node().with(3);
+        long held = upload(node, 500);
+        node.balancer.onOutcome(node.now, new Outcome(held, 0, Result.CONNECT_FAILED, 1_000, false, null));
+        assertEquals(2, node.attempts(held));
+        long passed = upload(node, 501);
+        node.balancer.onBodyPassed(node.now, passed);
+        node.balancer.onBodyPassed(node.now, 999);
+        node.balancer.onOutcome(node.now, new Outcome(passed, 0, Result.CONNECT_FAILED, 1_000, false, null));
+        assertEquals(1, node.attempts(passed));
+        assertEquals(List.of(passed), node.refused);
+    }
+
+    @Test
+    void aClientThatLeavesOnItsWayLeavesNothingBehind() {
+        Node node = new Node().with(2);
+        long id = upload(node, 500);
+        String server = node.last(id).server();
+        node.balancer.onClientGone(node.now, id);
+        assertEquals(List.of(id + "/0"), node.cancelled);
+        node.balancer.onOutcome(node.now, new Outcome(id, 0, Result.CANCELLED, 1_000, true, null));
+        int there = 0;
+        for (int i = 0; i < 40; i++) {
+            there += node.serve(Node.SAFE, Result.OK, 10_000).equals(server) ? 1 : 0;
+        }
+        assertTrue(there > 5 && there < 35, there + " of 40");
+    }
 }
--- a/src/test/java/cedarrelay/Node.java
+++ b/src/test/java/cedarrelay/Node.java
@@ -32,6 +32,7 @@
     final List<Long> refused = new ArrayList<>();
     final List<Long> failed = new ArrayList<>();
     final List<String> cancelled = new ArrayList<>();
+    final List<String> ends = new ArrayList<>();
     final List<String> logged = new ArrayList<>();
     final List<String> probed = new ArrayList<>();
     int subscriptions;
@@ -170,6 +171,11 @@
         sent.add(new Sent(now, requestId, attempts(requestId), serverId, untilUs));
     }
 
+    @Override
+    public void until(long requestId, int attempt, long untilUs) {
+        ends.add(requestId + "/" + attempt + " at " + untilUs);
+    }
+
     @Override
     public void cancel(long requestId, int attempt) {
         cancelled.add(requestId + "/" + attempt);
--- a/src/test/java/cedarrelay/RandomEventsTest.java
+++ b/src/test/java/cedarrelay/RandomEventsTest.java
@@ -158,6 +158,11 @@
             finish(requestId, false);
         }
 
+        @Override
+        public void until(long requestId, int attempt, long untilUs) {
+            throw new AssertionError("no body was on its way");
+        }
+
         @Override
         public void cancel(long requestId, int attempt) {
             assertTrue(set.cancel);
--- a/src/test/java/cedarrelay/node/AdminServerTest.java
+++ b/src/test/java/cedarrelay/node/AdminServerTest.java
@@ -118,6 +118,8 @@
         figures.taken();
         figures.ended(1, Figures.End.SERVED);
         figures.ended(0, Figures.End.REFUSED);
+        figures.left();
+        figures.left();
         figures.attempted();
         figures.servers(12, 3);
         String answer = call("GET /_vars HTTP/1.1\r\n\r\n");
--- a/src/test/java/cedarrelay/node/Fixture.java
+++ b/src/test/java/cedarrelay/node/Fixture.java
@@ -1,7 +1,10 @@
 package cedarrelay.node;
 
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.net.StandardSocketOptions;
 import java.nio.file.Files;
 import java.nio.file.Path;
 
@@ -34,6 +37,17 @@
                 .getAsJsonObject();
     }
 
+    /**
+     * A port for a node to listen on, kept from anybody else for as long as the socket is open: it is bound,
+     * shares its address as nodes do, and does not listen.
+     */
+    static Socket reservePort() throws IOException {
+        Socket socket = new Socket();
+        socket.setOption(StandardSocketOptions.SO_REUSEPORT, true);
+        socket.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+        return socket;
+    }
+
     static Path write(JsonObject json) throws IOException {
         Path file = Files.createTempFile("node", ".json");
         file.toFile().deleteOnExit();
