End answers and listeners in time: short flows at the deadline, listeners once unwatched

Suspected: an answer of unknown length that flows and then falls silent had no time-out but 10 s. Now one that is not known to be over 64 KiB ends with its request's time, and a longer one 2.5 s after its server's last byte. Seen besides: UpgradeTest met a reset about one run in five. A process told to end before it is warm no longer opens the clients' address.

--- a/src/main/java/cedarrelay/node/BodyWriter.java
+++ b/src/main/java/cedarrelay/node/BodyWriter.java
@@ -12,13 +12,15 @@
 final class BodyWriter {
     private final Channel channel;
     private final Body body;
+    private final StallGuard stall;
     private final Consumer<ChannelFuture> whenLast;
     private boolean over;
 
     /** {@code whenLast} gets the writing of the last byte. */
-    BodyWriter(Channel channel, Body body, Consumer<ChannelFuture> whenLast) {
+    BodyWriter(Channel channel, Body body, StallGuard stall, Consumer<ChannelFuture> whenLast) {
         this.channel = channel;
         this.body = body;
+        this.stall = stall;
         this.whenLast = whenLast;
     }
 
@@ -31,6 +33,7 @@
     void pump() {
         ByteBuf part = !over && channel.isWritable() ? body.next() : null;
         while (part != null) {
+            stall.progress();
             channel.write(new DefaultHttpContent(part));
             part = !over && channel.isWritable() ? body.next() : null;
         }
--- a/src/main/java/cedarrelay/node/ClientServer.java
+++ b/src/main/java/cedarrelay/node/ClientServer.java
@@ -146,9 +146,13 @@
         rehearsal = token;
     }
 
-    /** No new connections but those that wait already; the sweep ends what stands idle. */
-    void stopAccepting() {
-        listening.closeEmptied();
+    /** Takes the connections that wait already, then no more, and runs {@code whenDone}. */
+    void stopAccepting(Runnable whenDone) {
+        if (listening == null) {
+            whenDone.run();
+        } else {
+            listening.closeEmptied(whenDone);
+        }
     }
 
     /** Whether all that was taken has been answered and written. */
--- a/src/main/java/cedarrelay/node/Exchange.java
+++ b/src/main/java/cedarrelay/node/Exchange.java
@@ -25,6 +25,8 @@
     private long arrivedNs;
     private boolean whole;
     private boolean answered;
+    /** Of an answer that flows: its length, or as much as is known of it. */
+    private long flowLength;
 
     Exchange(ClientConnection connection, Figures figures, ClientRequest request, HttpRequest head) {
         this.connection = connection;
@@ -83,6 +85,7 @@
      */
     AnswerSink begin(String contentType, long length, Runnable whenWritable) {
         answered = true;
+        flowLength = length;
         request.body().close();
         HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
         if (contentType != null) {
@@ -97,6 +100,11 @@
         return new Flow();
     }
 
+    /** Whether what flows is too long to be held, as far as is known: its first bytes are timed then. */
+    boolean isLong() {
+        return flowLength > IncomingAnswer.HELD;
+    }
+
     /** A long answer will not come whole: its client has to see that. */
     void cutOff() {
         figures.ended(request.classIndex(), Figures.End.FAILED);
@@ -161,8 +169,12 @@
 
     /** A long answer on its way to the client. */
     private final class Flow implements AnswerSink {
+        private long passed;
+
         @Override
         public void write(ByteBuf part) {
+            passed += part.readableBytes();
+            flowLength = Math.max(flowLength, passed);
             connection.pass(part);
         }
 
--- a/src/main/java/cedarrelay/node/Main.java
+++ b/src/main/java/cedarrelay/node/Main.java
@@ -70,7 +70,7 @@
 
     /** A node without one of its addresses is no use to anybody. */
     private static void needed(Future<?> listening, String whom) {
-        if (!listening.isSuccess()) {
+        if (listening.cause() != null && !listening.isCancelled()) {
             exit("can't listen " + whom + ": " + listening.cause().getMessage(), 1);
         }
     }
--- a/src/main/java/cedarrelay/node/Node.java
+++ b/src/main/java/cedarrelay/node/Node.java
@@ -173,10 +173,12 @@
             if (timer != null) {
                 timer.cancel(false);
             }
+            AnswerSink sink = request.exchange.begin(contentType, length, whenWritable);
             if (request.guard != null) {
                 request.guard.cancel(false);
             }
-            AnswerSink sink = request.exchange.begin(contentType, length, whenWritable);
+            // One that may still prove short has to be whole in its time, like any short one.
+            request.guard = at(request.deadlineUs, () -> cutShort(request));
             enter(request, () -> balancer.onFirstByte(nowUs(), request.id, number));
             return sink;
         }
@@ -249,6 +251,11 @@
     }
 
     private void open(EventLoopGroup group, Promise<Channel> ready) {
+        if (lifecycle.state() == Lifecycle.State.STOPPING) {
+            // Told to end before it was warm: no client has seen it.
+            ready.cancel(false);
+            return;
+        }
         // The first line costs 50 ms of a whole core: not while clients wait.
         LOG.log(Level.INFO, "warm; " + config.known().targets().size() + " servers on the last list");
         ChannelFuture binding = clients.listen(group, config.listen());
@@ -302,10 +309,8 @@
     /** Stops taking requests after a while and runs {@code done} as soon as all are answered. */
     void stop(Runnable done) {
         lifecycle.stop();
-        loop.schedule(() -> {
-            clients.stopAccepting();
-            runWhenDone(done);
-        }, ACCEPT_WHILE_STOPPING_MS, TimeUnit.MILLISECONDS);
+        loop.schedule(() -> clients.stopAccepting(() -> runWhenDone(done)), ACCEPT_WHILE_STOPPING_MS,
+                TimeUnit.MILLISECONDS);
     }
 
     private void runWhenDone(Runnable done) {
@@ -409,6 +414,15 @@
         }
     }
 
+    /** An answer has begun and not ended in time; only if it is a long one may it go on. */
+    private void cutShort(Held late) {
+        if (!late.over && !late.exchange.isLong()) {
+            late.exchange.cutOff();
+            late.end();
+            enter(late, () -> balancer.onClientGone(nowUs(), late.id));
+        }
+    }
+
     private void fail(Held request, HttpResponseStatus status, String reason) {
         if (!request.over) {
             request.exchange.failed(status, reason);
--- a/src/main/java/cedarrelay/node/ServerPool.java
+++ b/src/main/java/cedarrelay/node/ServerPool.java
@@ -42,8 +42,11 @@
     private static final long SWEEP_MS = 500;
     /** How long an answer whose length is not known is held in the hope that it is short. */
     private static final long HOLD_MS = 50;
-    /** A long answer that makes no progress for so long will make none: its end is told to the client. */
-    private static final long STALL_MS = 10_000;
+    /** A server that gives nothing of a long answer, or takes nothing of a request, for so long will not go
+     * on: whole seconds are no pause of one that lives. */
+    private static final long STALL_MS = 2_500;
+    /** The same while it is the client who takes nothing. */
+    private static final long CLIENT_STALL_MS = 10_000;
     /** Read at once from a server, so that little is on its way when a client can't take it. */
     static final int MAX_READ = 32 * 1024;
 
@@ -317,7 +320,7 @@
             this.server = server;
             this.generation = generation;
             this.channel = channel;
-            stall = new StallGuard(loop, STALL_MS, () -> attempt.giveUp(Result.TIMEOUT));
+            stall = new StallGuard(loop, this::stalled);
         }
 
         /** Carries the first attempt in line, or waits for one. */
@@ -353,8 +356,8 @@
                 return;
             }
             channel.write(message);
-            upload = new BodyWriter(channel, next.caller.body(), last -> whenWritten(next, last));
-            stall.start();
+            upload = new BodyWriter(channel, next.caller.body(), stall, last -> whenWritten(next, last));
+            stall.start(STALL_MS);
             upload.start();
         }
 
@@ -379,7 +382,6 @@
         @Override
         public void channelWritabilityChanged(ChannelHandlerContext ctx) {
             if (upload != null && channel.isWritable()) {
-                stall.progress();
                 upload.pump();
             }
         }
@@ -439,21 +441,31 @@
             }
             stopTimers();
             answer.flowTo(attempt.caller.begun(answer.contentType(), answer.length(), this::resume));
-            stall.start();
+            stall.start(STALL_MS);
             pauseIfFull();
         }
 
         private void pauseIfFull() {
             if (!answer.sink().isWritable()) {
                 channel.config().setAutoRead(false);
+                stall.allow(CLIENT_STALL_MS);
             }
         }
 
         private void resume() {
-            stall.progress();
+            stall.allow(STALL_MS);
             channel.config().setAutoRead(true);
         }
 
+        private void stalled() {
+            if (upload != null && !written && channel.isWritable()) {
+                // It waits for its client, whose pace is looked at where it is read.
+                stall.start(STALL_MS);
+            } else {
+                attempt.giveUp(Result.TIMEOUT);
+            }
+        }
+
         private void stopTimers() {
             stall.stop();
             if (upload != null && !written) {
--- a/src/main/java/cedarrelay/node/StallGuard.java
+++ b/src/main/java/cedarrelay/node/StallGuard.java
@@ -7,25 +7,33 @@
 
 /** Ends what has made no progress for too long; costs a timer now and then and nothing for each part. */
 final class StallGuard {
+    /** What is allowed may become less while it waits. */
+    private static final long LOOK_NS = TimeUnit.SECONDS.toNanos(1);
+
     private final EventLoop loop;
-    private final long mostNs;
     private final Runnable onStall;
     private ScheduledFuture<?> check;
     private long progressAt;
+    private long mostNs;
 
-    StallGuard(EventLoop loop, long mostMs, Runnable onStall) {
+    StallGuard(EventLoop loop, Runnable onStall) {
         this.loop = loop;
-        this.mostNs = TimeUnit.MILLISECONDS.toNanos(mostMs);
         this.onStall = onStall;
     }
 
-    void start() {
-        progress();
+    void start(long mostMs) {
+        allow(mostMs);
         if (check == null) {
             checkIn(mostNs);
         }
     }
 
+    /** From now on so much without progress is allowed. */
+    void allow(long mostMs) {
+        mostNs = TimeUnit.MILLISECONDS.toNanos(mostMs);
+        progress();
+    }
+
     void progress() {
         progressAt = System.nanoTime();
     }
@@ -38,7 +46,7 @@
     }
 
     private void checkIn(long ns) {
-        check = loop.schedule(this::check, ns, TimeUnit.NANOSECONDS);
+        check = loop.schedule(this::check, Math.min(ns, LOOK_NS), TimeUnit.NANOSECONDS);
     }
 
     private void check() {
--- a/src/test/java/cedarrelay/node/LongAnswerTest.java
+++ b/src/test/java/cedarrelay/node/LongAnswerTest.java
@@ -222,6 +222,32 @@
         assertTrue(server.requests.isEmpty(), "sent again after its client had some of an answer");
     }
 
+    @Test
+    void whatMayStillProveShortIsCutOffWhenItsTimeIsUpAndWhatIsLongIsNot() throws Exception {
+        String soon = get(1).replace("Remaining-Ms: " + Fixture.REMAINING_MS, "Remaining-Ms: 500");
+        Socket attempt = ask(soon, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n");
+        head(client);
+        assertThrows(IOException.class, () -> chunks(client));
+        await("node.requests.view.failed=1");
+        await("node.in_flight=0");
+        assertEquals(attempt, FakePeer.soon(server.ended));
+        int port = client.getPort();
+        client = new Socket("127.0.0.1", port);
+        client.setSoTimeout((int) TimeUnit.SECONDS.toMillis(FakePeer.PATIENCE_S));
+        Socket flowing = ask(soon.replace("0001\r", "0002\r"),
+                "HTTP/1.1 200 OK\r\nContent-Length: " + LENGTH + "\r\n\r\n");
+        write(flowing, 0, 100_000);
+        head(client);
+        // The cut of the next one, sent later with the same time, shows that this one's time is up.
+        try (Socket other = new Socket("127.0.0.1", port)) {
+            FakePeer.write(other, soon.replace("0001\r", "0003\r"));
+            assertTrue(!FakePeer.read(other).startsWith("HTTP/1.1 200"));
+        }
+        write(flowing, 100_000, LENGTH);
+        assertArrayEquals(BODY, client.getInputStream().readNBytes(LENGTH));
+        await("node.requests.view.served=1");
+    }
+
     @Test
     void anAnswerFramedInTwoWaysIsNotPassedOn() throws Exception {
         server.script(FakePeer.raw("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n"
--- a/src/test/java/cedarrelay/node/UpgradeTest.java
+++ b/src/test/java/cedarrelay/node/UpgradeTest.java
@@ -18,10 +18,12 @@
 import java.util.concurrent.TimeUnit;
 
 import com.google.gson.JsonObject;
+import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.Future;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -150,6 +152,24 @@
         looked.countDown();
     }
 
+    @Test
+    void aProcessToldToEndBeforeItIsWarmTakesNoClients() throws Exception {
+        EventLoopGroup group = group();
+        EventLoop loop = group.next();
+        Config config = Config.read(Map.of("LB_CONFIG", Fixture.write(json).toString()));
+        Node node = loop.submit(() -> new Node(config, loop)).get();
+        CountDownLatch over = new CountDownLatch(1);
+        Future<Channel> ready = loop.submit(() -> {
+            Future<Channel> starting = node.start(group, 8);
+            node.stop(over::countDown);
+            return starting;
+        }).get();
+        assertTrue(over.await(FakePeer.PATIENCE_S, TimeUnit.SECONDS), "never ends");
+        assertTrue(ready.await(FakePeer.PATIENCE_S, TimeUnit.SECONDS), "never warm");
+        assertTrue(ready.isCancelled());
+        assertThrows(ConnectException.class, this::connect);
+    }
+
     @Test
     void whatWaitsToBeAcceptedIsServedWhenTheListenerCloses() throws Exception {
         EventLoopGroup group = group();
@@ -165,7 +185,7 @@
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
             }
-            clients.stopAccepting();
+            clients.stopAccepting(() -> { });
         });
         List<Socket> waiting = new ArrayList<>();
         for (int i = 0; i < 40; i++) {
