Measure slow start by what the fleet can do at present, and save up little of it

The measure is learned for a unit of present capacity, not for the node as a whole: a node of a large fleet learns over a minute, and what it had from warm servers would be too much for cold ones (ColdServerTest).

--- a/src/main/java/cedarrelay/Call.java
+++ b/src/main/java/cedarrelay/Call.java
@@ -13,7 +13,7 @@
     final long aimUs;
     long aimAt;
     long deadlineAt;
-    final ServiceQBalancer.Server[] servers;
+    final Server[] servers;
     final long[] sentAt;
     final Result[] results;
     double worth;
@@ -42,7 +42,7 @@
         deadlineAt = now + Math.max(0, request.leftUs());
         aimUs = aim;
         aimAt = Math.min(deadlineAt, now + aim - elapsedUs);
-        servers = new ServiceQBalancer.Server[set.maxAttempts];
+        servers = new Server[set.maxAttempts];
         sentAt = new long[set.maxAttempts];
         results = new Result[set.maxAttempts];
     }
--- a/src/main/java/cedarrelay/ServiceQBalancer.java
+++ b/src/main/java/cedarrelay/ServiceQBalancer.java
@@ -104,6 +104,10 @@
     private static final long MOST_EJECT_US = 4_000_000;
     /** Own requests in flight from which on a local server is compared with those of other zones. */
     private static final int SPILL_AT = 2;
+    /** Part of the rule's window for which a cold server's room may be saved up. */
+    private static final double COLD_SAVED = 0.25;
+    /** How long the sum of present capacities is taken for the same: a cold server's changes in seconds. */
+    private static final long PRESENT_US = 100_000;
     /** Least time between two lines in the operators' log. */
     private static final long LOG_EVERY_US = 1_000_000;
     /** A tenant may use up this much of its share at once before it counts as beyond it. */
@@ -128,7 +132,8 @@
     private Pool nearby = everywhere;
     private boolean weightsStale;
     private double largestEffect = 1;
-    private double totalWeight;
+    private double presentWeight;
+    private long presentAt;
     private int ejectedServers;
     private long logFreeAt;
 
@@ -140,6 +145,8 @@
     private long wakePending = Long.MAX_VALUE;
     private long lastServedAt;
     private double servedGapUs = FIRST_GAP_US;
+    /** The same for a unit of present capacity. */
+    private double unitGapUs;
     private int servedCount;
     private final double[] latencyUs;
     private final double[] leastLatencyUs;
@@ -161,46 +168,6 @@
     private long askListAt = Long.MAX_VALUE;
     private long listBackoffUs = LIST_BACKOFF_US;
 
-    /** A server as this node knows it. */
-    static final class Server {
-        final String id;
-        int zone;
-        int cell;
-        ServerState state;
-        long startedAt;
-        int position;
-        /** Its size by the list, to the power {@link #SIZE_POWER}. */
-        double size = 1;
-        double weight = 1;
-        int errors;
-        int inFlight;
-        /** Share of its answers that failed, and not by being late or full. */
-        double faults;
-        boolean asked;
-        final List<Call> askers = new ArrayList<>();
-        double pace = 1;
-        long paceAt;
-        double limit;
-        long limitCutAt;
-        long wantedAt;
-        int history;
-        boolean ejected;
-        long trialAt;
-        long ejectedForUs;
-        int trialsWon;
-        long answeredAt;
-        long servedAt;
-        /** When this node last sent it something while it was cold, or learned that it started, and the
-         * part of a cold gap that must have passed since. */
-        long coldSentAt;
-        double coldPhase;
-
-        Server(String id, double limit) {
-            this.id = id;
-            this.limit = limit;
-        }
-    }
-
     /** Servers with their weights summed up to each. */
     private static final class Pool {
         final Server[] servers;
@@ -261,8 +228,8 @@
                 server.startedAt = entry.startedAtUs();
                 // All nodes learn of a start at about the same time: they must not all send at once
                 // (icd7515).
-                server.coldSentAt = now;
-                server.coldPhase = random.nextDouble();
+                server.coldRoomAt = now;
+                server.coldRoom = random.nextDouble();
             }
             server.state = entry.state();
             server.zone = entry.zone();
@@ -271,11 +238,10 @@
             server.size = Math.pow(server.weight, SIZE_POWER);
         }
         ready = listed.stream().filter(s -> s.state == ServerState.READY).toArray(Server[]::new);
-        totalWeight = 0;
         for (int i = 0; i < ready.length; i++) {
             ready[i].position = i;
-            totalWeight += ready[i].weight;
         }
+        presentAt = 0;
         // Servers come and go for as long as a node runs: what is gone and holds nothing is forgotten.
         byId.values().removeIf(server -> server.state == ServerState.GONE && server.inFlight == 0);
         everywhere = new Pool(ready);
@@ -993,6 +959,7 @@
             double aim = call.aimUs;
             double crowded = Math.min(CROWDED_AT * aim, CROWDED_BY * leastLatencyUs[c]);
             servedGapUs += meanGain(++servedCount) * (now - lastServedAt - servedGapUs);
+            unitGapUs += meanGain(servedCount) * ((now - lastServedAt) * presentWeight() - unitGapUs);
             lastServedAt = now;
             if (outcome.latencyUs() <= crowded) {
                 // A cold server gets little and is quick with it: were its limit to pass the others', all
@@ -1066,8 +1033,7 @@
         // Gaps are counted from the first request on, not from the start of the clock.
         lastServedAt = lastServedAt == 0 ? now : lastServedAt;
         if (isCold(server)) {
-            server.coldSentAt = now;
-            server.coldPhase = 1;
+            server.coldRoom = coldRoom(server) - 1;
         }
         out.send(call.request.id(), server.id, attemptEnd(call));
     }
@@ -1149,7 +1115,7 @@
 
     private boolean isAllowed(Call call, Server server) {
         if (server.state != ServerState.READY
-                || isCold(server) && now < server.coldSentAt + coldGap(server)) {
+                || isCold(server) && coldRoom(server) < 1) {
             return false;
         }
         int binding = call.cls.repeat() == Repeat.KEYED ? call.binding() : -1;
@@ -1165,18 +1131,38 @@
     }
 
     /**
-     * Exception, slow start (rule 4): the unit is a cold server's part, by the list's sizes, of what this
-     * node gets answered, times the share of its capacity that it has at least. All nodes together may
-     * send so many units as the rule's multiple; each spends half of that, spaced so that no burst spends
-     * it at once, the first one after a random part of the space. Its limit keeps a server that is slow
-     * besides below even that. Arrivals would not do as the measure: in a jam, clients' retries multiply
-     * them.
+     * Exception, slow start (rule 4): the unit is a cold server's part of what this node gets answered for
+     * each unit of the fleet's present capacity: sizes by the list, times the share that a cold server has
+     * at least. All nodes together may send so many units as the rule's multiple; each spends half of that
+     * and saves up little, so that no burst spends it at once, and begins with a random part of one request.
+     * A server's limit keeps it below even that if it is slow besides. Arrivals would not do as the measure:
+     * in a jam, clients' retries multiply them. Nor would sizes alone: while most servers are cold, the few
+     * warm ones would get what those may not have, and jam.
      */
-    private long coldGap(Server server) {
-        double age = Math.max(0, now - server.startedAt) / (double) set.coldUs;
-        double share = set.coldFrom + (1 - set.coldFrom) * Math.min(1, age);
-        double gap = Math.max(servedGapUs, MEAN_GAIN * (now - lastServedAt));
-        double part = server.weight / Math.max(server.weight, totalWeight);
-        return (long) (server.coldPhase * gap / (part * share * Math.max(1, set.fallMultiple / 2)));
+    private double coldRoom(Server server) {
+        double unit = servedCount == 0 ? FIRST_GAP_US * presentWeight()
+                : Math.max(unitGapUs, MEAN_GAIN * (now - lastServedAt) * presentWeight());
+        double gap = unit / (present(server) * Math.max(1, set.fallMultiple / 2));
+        server.coldRoom = Math.min(1 + COLD_SAVED * set.fallUs / gap,
+                server.coldRoom + (now - server.coldRoomAt) / gap);
+        server.coldRoomAt = now;
+        return server.coldRoom;
+    }
+
+    private double presentWeight() {
+        if (now >= presentAt + PRESENT_US) {
+            presentAt = now;
+            presentWeight = 0;
+            for (Server server : ready) {
+                presentWeight += present(server);
+            }
+        }
+        return presentWeight;
+    }
+
+    /** Its size by the list, times the share of its capacity that it has at least. */
+    private double present(Server server) {
+        double age = isCold(server) ? Math.max(0, now - server.startedAt) / (double) set.coldUs : 1;
+        return server.weight * (set.coldFrom + (1 - set.coldFrom) * age);
     }
 }
--- a/src/test/java/cedarrelay/ColdServerTest.java
+++ b/src/test/java/cedarrelay/ColdServerTest.java
@@ -130,4 +130,56 @@
         // A fifth of 200/11 a second, times two seconds, times the rule's three: 22 at most.
         assertTrue(toCold >= 1 && toCold <= 22, "sent by all nodes in two seconds: " + toCold);
     }
+
+    @Test
+    void whileMostServersAreColdTheFewWarmOnesDoNotGetWhatThoseCouldDo() {
+        Node node = new Node().with(24);
+        for (int i = 0; i < 400; i++) {
+            node.serve(Node.SAFE, Result.OK, 10_000);
+        }
+        List<ServerEntry> restarted = new ArrayList<>();
+        for (int i = 8; i < 24; i++) {
+            restarted.add(started("s" + i, node.now));
+        }
+        node.list(ListKind.CHANGES, restarted);
+        int warm = 0;
+        for (int i = 0; i < 600; i++) {
+            warm += Integer.parseInt(node.serve(Node.SAFE, Result.OK, 10_000).substring(1)) < 8 ? 1 : 0;
+        }
+        // Sixteen servers that can do a fifth to a half of a warm one are worth some five of the eight.
+        assertTrue(warm < 390 && warm > 240, "sent to the warm ones in six seconds, of 600: " + warm);
+    }
+
+    @Test
+    void whatWasAnsweredWhileAllWereWarmIsNoMeasureForAFleetThatIsCold() {
+        // Few requests a node: what it has learned is from long before most servers were replaced.
+        Balancer.Settings set = Node.settings();
+        set.nodes = 100;
+        set.coldFrom = 0.2;
+        set.coldUs = 20_000_000;
+        int[] toCold = new int[6];
+        for (int n = 0; n < set.nodes; n++) {
+            Node node = new Node(set, n);
+            node.with(10);
+            for (int i = 0; i < 60; i++) {
+                node.serve(Node.SAFE, Result.OK, 10_000);
+                node.advance(490_000);
+            }
+            List<ServerEntry> restarted = new ArrayList<>();
+            for (int i = 0; i < 6; i++) {
+                restarted.add(started("s" + i, node.now));
+            }
+            node.list(ListKind.CHANGES, restarted);
+            for (int i = 0; i < 6; i++) {
+                String server = node.serve(Node.SAFE, Result.OK, 10_000);
+                int number = Integer.parseInt(server.substring(1));
+                toCold[Math.min(5, number)] += number < 6 ? 1 : 0;
+                node.advance(490_000);
+            }
+        }
+        // A third of 200/10 a second at most, times three seconds, times the rule's three: 60.
+        for (int sent : toCold) {
+            assertTrue(sent >= 1 && sent <= 60, "sent by all nodes in three seconds: " + sent);
+        }
+    }
 }
