--- a/src/main/java/cedarrelay/node/ServerPool.java
+++ b/src/main/java/cedarrelay/node/ServerPool.java
@@ -40,6 +40,9 @@
     private static final int MAX_LINE = 4_096;
     private static final int MAX_HEADERS = 16_384;
     private static final long SWEEP_MS = 500;
+    /** How long a connection rests after an answer. Some servers send more than belongs to it; what comes
+     * after the next request was written would be read as its answer. Seen: up to 0.2 ms later. */
+    static final long REST_MS = 2;
     /** How long an answer whose length is not known is held in the hope that it is short. */
     private static final long HOLD_MS = 50;
     /** A server that gives nothing of a long answer, or takes nothing of a request, for so long will not go
@@ -96,6 +99,8 @@
         private final Server server;
         private final Caller caller;
         private Connection connection;
+        /** The connection whose rest it waits for. */
+        private Connection resting;
         private boolean over;
 
         private Attempt(Server server, Caller caller) {
@@ -118,6 +123,9 @@
             }
             if (connection == null) {
                 server.waiting.remove(this);
+                if (resting != null) {
+                    resting.release();
+                }
                 end(Result.MOOT, null);
                 return;
             }
@@ -141,14 +149,16 @@
     private final Sockets sockets;
     private final Bootstrap bootstrap;
     private final long keepIdleNs;
+    private final long restNs;
     private final ScheduledFuture<?> sweeper;
     private final Map<String, Server> servers = new HashMap<>();
 
-    ServerPool(EventLoop loop, Sockets sockets, long dialTimeoutUs, long connIdleUs) {
+    ServerPool(EventLoop loop, Sockets sockets, long dialTimeoutUs, long connIdleUs, long restMs) {
         this.loop = loop;
         this.sockets = sockets;
         // A request written to a connection that the server is just closing may have run for all we know.
         keepIdleNs = TimeUnit.MICROSECONDS.toNanos(connIdleUs) / 2;
+        restNs = TimeUnit.MILLISECONDS.toNanos(restMs);
         bootstrap = new Bootstrap().group(loop).disableResolver()
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, dialTimeoutUs / 1_000))
                 .option(ChannelOption.TCP_NODELAY, true)
@@ -206,7 +216,7 @@
         }
         Connection connection = takeIdle(server);
         if (connection != null) {
-            connection.send(attempt);
+            connection.sendRested(attempt);
         } else {
             server.waiting.add(attempt);
             dial(server);
@@ -214,14 +224,19 @@
         return attempt;
     }
 
+    /** The most recently used one that has rested, or else the most recently used one. */
     private Connection takeIdle(Server server) {
-        Connection connection = server.idle.poll();
-        while (connection != null && (!connection.channel.isActive()
-                || System.nanoTime() - connection.idleSince > keepIdleNs)) {
-            connection.channel.close();
-            connection = server.idle.poll();
+        long now = System.nanoTime();
+        while (!server.idle.isEmpty() && !server.idle.peek().isFit(now)) {
+            server.idle.poll().channel.close();
         }
-        return connection;
+        for (Connection connection : server.idle) {
+            if (connection.isFit(now) && connection.restNs(now) <= 0) {
+                server.idle.remove(connection);
+                return connection;
+            }
+        }
+        return server.idle.poll();
     }
 
     private void dial(Server server) {
@@ -254,6 +269,7 @@
                 dialFailed(server, generation);
             } else {
                 server.dialing -= generation == server.generation ? 1 : 0;
+                connection.idleSince = System.nanoTime();
                 connection.park();
             }
         });
@@ -306,6 +322,9 @@
         private final int generation;
         private final Channel channel;
         private Attempt attempt;
+        /** The attempt that it carries once it has rested. */
+        private Attempt booked;
+        private boolean used;
         private boolean written;
         /** Writes the body where that follows its head. */
         private BodyWriter upload;
@@ -334,16 +353,71 @@
             }
             Attempt next = server.waiting.poll();
             if (next != null) {
-                send(next);
+                sendRested(next);
             } else if (server.gone) {
                 channel.close();
             } else {
-                idleSince = System.nanoTime();
                 server.idle.push(this);
             }
         }
 
+        /** Whether it may be used again. */
+        boolean isFit(long now) {
+            return channel.isActive() && now - idleSince <= keepIdleNs;
+        }
+
+        /** How long it has to rest still; a fresh one need not. */
+        long restNs(long now) {
+            return used ? idleSince + restNs - now : 0;
+        }
+
+        /** Sends as soon as whatever else the last answer brought would have come. */
+        void sendRested(Attempt next) {
+            long rest = restNs(System.nanoTime());
+            if (rest <= 0) {
+                send(next);
+                return;
+            }
+            next.resting = this;
+            booked = next;
+            loop.schedule(this::rested, rest, TimeUnit.NANOSECONDS);
+        }
+
+        private void rested() {
+            Attempt next = unbook();
+            if (next == null) {
+                return;
+            }
+            if (channel.isActive() && generation == server.generation) {
+                send(next);
+            } else {
+                channel.close();
+                dialFor(next);
+            }
+        }
+
+        /** Its attempt has been given up before it went out. */
+        void release() {
+            unbook();
+            park();
+        }
+
+        private Attempt unbook() {
+            Attempt next = booked;
+            booked = null;
+            if (next != null) {
+                next.resting = null;
+            }
+            return next;
+        }
+
+        private void dialFor(Attempt next) {
+            server.waiting.addFirst(next);
+            dial(server);
+        }
+
         void send(Attempt next) {
+            used = true;
             attempt = next;
             next.connection = this;
             written = false;
@@ -495,6 +569,7 @@
             stopTimers();
             attempt = null;
             result = null;
+            idleSince = System.nanoTime();
             if (reusable) {
                 channel.config().setAutoRead(true);
                 park();
@@ -510,12 +585,16 @@
         /** The connection or what came on it is broken: only a request not handed over whole never ran. */
         private void broken() {
             Attempt failed = attempt;
+            Attempt next = unbook();
             attempt = null;
             stopTimers();
             drop();
             if (failed != null) {
                 failed.end(written ? Result.RESET : Result.CONNECT_FAILED, null);
             }
+            if (next != null) {
+                dialFor(next);
+            }
         }
 
         private void drop() {
--- a/src/test/java/cedarrelay/node/LongAnswerTest.java
+++ b/src/test/java/cedarrelay/node/LongAnswerTest.java
@@ -317,7 +317,8 @@
             FakePeer.write(socket, "HTTP/1.1 200 OK\r\nContent-Length: " + length + "\r\n\r\n");
             socket.getOutputStream().write(new byte[length]);
         });
-        ServerPool pool = loop.submit(() -> new ServerPool(loop, new Sockets(1_024), 300_000, 60_000_000))
+        ServerPool pool = loop.submit(() -> new ServerPool(loop, new Sockets(1_024), 300_000, 60_000_000,
+                ServerPool.REST_MS))
                 .get();
         ServerList list = ServerList.parse(Fixture.list(1, true, "Ready", server));
         loop.submit(() -> pool.update(list)).get();
--- a/src/test/java/cedarrelay/node/ServerPoolTest.java
+++ b/src/test/java/cedarrelay/node/ServerPoolTest.java
@@ -83,8 +83,12 @@
     }
 
     private ServerPool pool(String address, long idleUs) throws Exception {
+        return pool(address, idleUs, 0);
+    }
+
+    private ServerPool pool(String address, long idleUs, long restMs) throws Exception {
         Sockets sockets = new Sockets(1_024);
-        ServerPool pool = loop.submit(() -> new ServerPool(loop, sockets, 300_000, idleUs)).get();
+        ServerPool pool = loop.submit(() -> new ServerPool(loop, sockets, 300_000, idleUs, restMs)).get();
         list(pool, address, 0);
         return pool;
     }
@@ -255,6 +259,38 @@
         assertSame(b, FakePeer.soon(used));
     }
 
+    @Test
+    void aConnectionRestsSoThatWhatComesLateIsNotTakenForTheNextAnswer() throws Exception {
+        ServerPool pool = pool(server.address(), IDLE_US, TimeUnit.MINUTES.toMillis(10));
+        Probe first = new Probe(10);
+        start(pool, first);
+        assertEquals(Result.OK, first.report().result());
+        Socket used = FakePeer.soon(server.accepted);
+        Probe second = new Probe(10);
+        start(pool, second);
+        Probe givenUp = new Probe(10);
+        loop.submit(() -> pool.start("s", givenUp).giveUp(Result.TIMEOUT)).get();
+        assertEquals(Result.MOOT, givenUp.report().result());
+        FakePeer.write(used, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong");
+        assertEquals("hello", new String(second.report().answer().body(), StandardCharsets.UTF_8));
+        assertSame(used, FakePeer.soon(server.ended));
+        assertEquals(2, server.requests.size());
+    }
+
+    @Test
+    void aRequestThatWaitsForARestGoesOutAfterItAndOneGivenUpLeavesItToTheNext() throws Exception {
+        ServerPool pool = pool(server.address(), IDLE_US, 20);
+        Probe first = new Probe(10);
+        start(pool, first);
+        first.report();
+        Probe givenUp = new Probe(10);
+        loop.submit(() -> pool.start("s", givenUp).giveUp(Result.TIMEOUT)).get();
+        Probe second = new Probe(10);
+        start(pool, second);
+        assertEquals(Result.OK, second.report().result());
+        assertEquals(1, server.accepted.size(), "dialled although one was at rest");
+    }
+
     private static BlockingQueue<Report> either(Probe a, Probe b) throws InterruptedException {
         long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(FakePeer.PATIENCE_S);
         while (a.reports.isEmpty() && b.reports.isEmpty() && System.nanoTime() < until) {
