--- a/src/main/java/cedarrelay/node/Exchange.java
+++ b/src/main/java/cedarrelay/node/Exchange.java
@@ -27,6 +27,7 @@
     private boolean answered;
     /** Of an answer that flows: its length, or as much as is known of it. */
     private long flowLength;
+    private long flowedNs;
 
     Exchange(ClientConnection connection, Figures figures, ClientRequest request, HttpRequest head) {
         this.connection = connection;
@@ -86,6 +87,7 @@
     AnswerSink begin(String contentType, long length, Runnable whenWritable) {
         answered = true;
         flowLength = length;
+        flowedNs = System.nanoTime();
         request.body().close();
         HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
         if (contentType != null) {
@@ -105,6 +107,11 @@
         return flowLength > IncomingAnswer.HELD;
     }
 
+    /** For how long nothing has come of what flows. */
+    long silentNs() {
+        return System.nanoTime() - flowedNs;
+    }
+
     /** A long answer will not come whole: its client has to see that. */
     void cutOff() {
         figures.ended(request.classIndex(), Figures.End.FAILED);
@@ -173,6 +180,7 @@
 
         @Override
         public void write(ByteBuf part) {
+            flowedNs = System.nanoTime();
             passed += part.readableBytes();
             flowLength = Math.max(flowLength, passed);
             connection.pass(part);
--- a/src/main/java/cedarrelay/node/Node.java
+++ b/src/main/java/cedarrelay/node/Node.java
@@ -48,6 +48,8 @@
     private static final long ANSWER_MARGIN_US = 25_000;
     private static final int ANSWER_MARGIN_PART = 8;
     private static final long PROBE_US = 250_000;
+    /** An answer that is out of time is still coming if some of it came within this. */
+    private static final long SILENT_MS = 250;
     /** A pushed list costs nothing to ask for. */
     private static final long WATCH_AGAIN_MS = 500;
     /** Connections come for up to 0.4 s after the word to stop, and their requests just after. */
@@ -415,13 +417,22 @@
         }
     }
 
-    /** An answer has begun and not ended in time; only if it is a long one may it go on. */
+    /**
+     * An answer has begun and not ended in time. It may go on if it is a long one, and while it may become
+     * one, which it can't in silence.
+     */
     private void cutShort(Held late) {
-        if (!late.over && !late.exchange.isLong()) {
-            late.exchange.cutOff();
-            late.end();
-            enter(late, () -> balancer.onClientGone(nowUs(), late.id));
+        if (late.over || late.exchange.isLong()) {
+            return;
+        }
+        long silentMs = TimeUnit.NANOSECONDS.toMillis(late.exchange.silentNs());
+        if (silentMs < SILENT_MS) {
+            late.guard = loop.schedule(() -> cutShort(late), SILENT_MS - silentMs, TimeUnit.MILLISECONDS);
+            return;
         }
+        late.exchange.cutOff();
+        late.end();
+        enter(late, () -> balancer.onClientGone(nowUs(), late.id));
     }
 
     private void fail(Held request, HttpResponseStatus status, String reason) {
--- a/src/test/java/cedarrelay/node/LongAnswerTest.java
+++ b/src/test/java/cedarrelay/node/LongAnswerTest.java
@@ -248,6 +248,25 @@
         await("node.requests.view.served=1");
     }
 
+    @Test
+    void whatStillComesGoesOnPastItsTime() throws Exception {
+        Socket attempt = ask(get(1).replace("Remaining-Ms: " + Fixture.REMAINING_MS, "Remaining-Ms: 300"),
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n");
+        head(client);
+        long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(1_000);
+        byte[] chunk = new byte[6];
+        assertEquals(6, client.getInputStream().readNBytes(chunk, 0, 6));
+        int sent = 1;
+        while (System.nanoTime() < until && sent < IncomingAnswer.HELD) {
+            FakePeer.write(attempt, "1\r\na\r\n");
+            assertEquals(6, client.getInputStream().readNBytes(chunk, 0, 6), "cut off after " + sent);
+            sent++;
+        }
+        FakePeer.write(attempt, "0\r\n\r\n");
+        assertEquals(0, chunks(client).length);
+        await("node.requests.view.served=1");
+    }
+
     @Test
     void anAnswerFramedInTwoWaysIsNotPassedOn() throws Exception {
         server.script(FakePeer.raw("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n"
