--- a/src/main/java/cedarrelay/node/ServerPool.java
+++ b/src/main/java/cedarrelay/node/ServerPool.java
@@ -99,8 +99,6 @@
         private final Server server;
         private final Caller caller;
         private Connection connection;
-        /** The connection whose rest it waits for. */
-        private Connection resting;
         private boolean over;
 
         private Attempt(Server server, Caller caller) {
@@ -123,9 +121,6 @@
             }
             if (connection == null) {
                 server.waiting.remove(this);
-                if (resting != null) {
-                    resting.release();
-                }
                 end(Result.MOOT, null);
                 return;
             }
@@ -216,27 +211,44 @@
         }
         Connection connection = takeIdle(server);
         if (connection != null) {
-            connection.sendRested(attempt);
+            connection.send(attempt);
         } else {
+            // A spare one: next time there will be one that has rested.
             server.waiting.add(attempt);
             dial(server);
+            serveOnceRested(server);
         }
         return attempt;
     }
 
-    /** The most recently used one that has rested, or else the most recently used one. */
+    /** The most recently used one that has rested, or null. */
     private Connection takeIdle(Server server) {
         long now = System.nanoTime();
         while (!server.idle.isEmpty() && !server.idle.peek().isFit(now)) {
             server.idle.poll().channel.close();
         }
         for (Connection connection : server.idle) {
-            if (connection.isFit(now) && connection.restNs(now) <= 0) {
+            if (connection.isFit(now) && connection.isRested(now)) {
                 server.idle.remove(connection);
                 return connection;
             }
         }
-        return server.idle.poll();
+        return null;
+    }
+
+    /** Connections at rest take what waits as soon as they have rested, if no new one has by then. */
+    private void serveOnceRested(Server server) {
+        if (!server.idle.isEmpty() && !server.waiting.isEmpty()) {
+            loop.schedule(() -> serveWaiting(server), restNs, TimeUnit.NANOSECONDS);
+        }
+    }
+
+    private void serveWaiting(Server server) {
+        Connection connection = server.waiting.isEmpty() ? null : takeIdle(server);
+        while (connection != null) {
+            connection.send(server.waiting.poll());
+            connection = server.waiting.isEmpty() ? null : takeIdle(server);
+        }
     }
 
     private void dial(Server server) {
@@ -322,8 +334,6 @@
         private final int generation;
         private final Channel channel;
         private Attempt attempt;
-        /** The attempt that it carries once it has rested. */
-        private Attempt booked;
         private boolean used;
         private boolean written;
         /** Writes the body where that follows its head. */
@@ -351,13 +361,14 @@
             if (!channel.isActive()) {
                 return;
             }
-            Attempt next = server.waiting.poll();
-            if (next != null) {
-                sendRested(next);
-            } else if (server.gone) {
+            boolean waited = !server.waiting.isEmpty();
+            if (waited && isRested(System.nanoTime())) {
+                send(server.waiting.poll());
+            } else if (server.gone && !waited) {
                 channel.close();
             } else {
                 server.idle.push(this);
+                serveOnceRested(server);
             }
         }
 
@@ -366,54 +377,9 @@
             return channel.isActive() && now - idleSince <= keepIdleNs;
         }
 
-        /** How long it has to rest still; a fresh one need not. */
-        long restNs(long now) {
-            return used ? idleSince + restNs - now : 0;
-        }
-
-        /** Sends as soon as whatever else the last answer brought would have come. */
-        void sendRested(Attempt next) {
-            long rest = restNs(System.nanoTime());
-            if (rest <= 0) {
-                send(next);
-                return;
-            }
-            next.resting = this;
-            booked = next;
-            loop.schedule(this::rested, rest, TimeUnit.NANOSECONDS);
-        }
-
-        private void rested() {
-            Attempt next = unbook();
-            if (next == null) {
-                return;
-            }
-            if (channel.isActive() && generation == server.generation) {
-                send(next);
-            } else {
-                channel.close();
-                dialFor(next);
-            }
-        }
-
-        /** Its attempt has been given up before it went out. */
-        void release() {
-            unbook();
-            park();
-        }
-
-        private Attempt unbook() {
-            Attempt next = booked;
-            booked = null;
-            if (next != null) {
-                next.resting = null;
-            }
-            return next;
-        }
-
-        private void dialFor(Attempt next) {
-            server.waiting.addFirst(next);
-            dial(server);
+        /** Whether what else the last answer may have brought would have come; a fresh one need not rest. */
+        boolean isRested(long now) {
+            return !used || now - idleSince >= restNs;
         }
 
         void send(Attempt next) {
@@ -585,16 +551,12 @@
         /** The connection or what came on it is broken: only a request not handed over whole never ran. */
         private void broken() {
             Attempt failed = attempt;
-            Attempt next = unbook();
             attempt = null;
             stopTimers();
             drop();
             if (failed != null) {
                 failed.end(written ? Result.RESET : Result.CONNECT_FAILED, null);
             }
-            if (next != null) {
-                dialFor(next);
-            }
         }
 
         private void drop() {
