--- a/src/main/java/cedarrelay/node/ServerPool.java
+++ b/src/main/java/cedarrelay/node/ServerPool.java
@@ -40,6 +40,9 @@
     private static final int MAX_LINE = 4_096;
     private static final int MAX_HEADERS = 16_384;
     private static final long SWEEP_MS = 500;
+    /** How long a connection rests after an answer. Some servers send more than belongs to it; what comes
+     * after the next request was written would be read as its answer. Seen: up to 0.2 ms later. */
+    static final long REST_MS = 2;
     /** How long an answer whose length is not known is held in the hope that it is short. */
     private static final long HOLD_MS = 50;
     /** A server that gives nothing of a long answer, or takes nothing of a request, for so long will not go
@@ -141,14 +144,16 @@
     private final Sockets sockets;
     private final Bootstrap bootstrap;
     private final long keepIdleNs;
+    private final long restNs;
     private final ScheduledFuture<?> sweeper;
     private final Map<String, Server> servers = new HashMap<>();
 
-    ServerPool(EventLoop loop, Sockets sockets, long dialTimeoutUs, long connIdleUs) {
+    ServerPool(EventLoop loop, Sockets sockets, long dialTimeoutUs, long connIdleUs, long restMs) {
         this.loop = loop;
         this.sockets = sockets;
         // A request written to a connection that the server is just closing may have run for all we know.
         keepIdleNs = TimeUnit.MICROSECONDS.toNanos(connIdleUs) / 2;
+        restNs = TimeUnit.MILLISECONDS.toNanos(restMs);
         bootstrap = new Bootstrap().group(loop).disableResolver()
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, dialTimeoutUs / 1_000))
                 .option(ChannelOption.TCP_NODELAY, true)
@@ -208,20 +213,42 @@
         if (connection != null) {
             connection.send(attempt);
         } else {
+            // A spare one: next time there will be one that has rested.
             server.waiting.add(attempt);
             dial(server);
+            serveOnceRested(server);
         }
         return attempt;
     }
 
+    /** The most recently used one that has rested, or null. */
     private Connection takeIdle(Server server) {
-        Connection connection = server.idle.poll();
-        while (connection != null && (!connection.channel.isActive()
-                || System.nanoTime() - connection.idleSince > keepIdleNs)) {
-            connection.channel.close();
-            connection = server.idle.poll();
+        long now = System.nanoTime();
+        while (!server.idle.isEmpty() && !server.idle.peek().isFit(now)) {
+            server.idle.poll().channel.close();
+        }
+        for (Connection connection : server.idle) {
+            if (connection.isFit(now) && connection.isRested(now)) {
+                server.idle.remove(connection);
+                return connection;
+            }
+        }
+        return null;
+    }
+
+    /** Connections at rest take what waits as soon as they have rested, if no new one has by then. */
+    private void serveOnceRested(Server server) {
+        if (!server.idle.isEmpty() && !server.waiting.isEmpty()) {
+            loop.schedule(() -> serveWaiting(server), restNs, TimeUnit.NANOSECONDS);
+        }
+    }
+
+    private void serveWaiting(Server server) {
+        Connection connection = server.waiting.isEmpty() ? null : takeIdle(server);
+        while (connection != null) {
+            connection.send(server.waiting.poll());
+            connection = server.waiting.isEmpty() ? null : takeIdle(server);
         }
-        return connection;
     }
 
     private void dial(Server server) {
@@ -254,6 +281,7 @@
                 dialFailed(server, generation);
             } else {
                 server.dialing -= generation == server.generation ? 1 : 0;
+                connection.idleSince = System.nanoTime();
                 connection.park();
             }
         });
@@ -306,6 +334,7 @@
         private final int generation;
         private final Channel channel;
         private Attempt attempt;
+        private boolean used;
         private boolean written;
         /** Writes the body where that follows its head. */
         private BodyWriter upload;
@@ -332,18 +361,29 @@
             if (!channel.isActive()) {
                 return;
             }
-            Attempt next = server.waiting.poll();
-            if (next != null) {
-                send(next);
-            } else if (server.gone) {
+            boolean waited = !server.waiting.isEmpty();
+            if (waited && isRested(System.nanoTime())) {
+                send(server.waiting.poll());
+            } else if (server.gone && !waited) {
                 channel.close();
             } else {
-                idleSince = System.nanoTime();
                 server.idle.push(this);
+                serveOnceRested(server);
             }
         }
 
+        /** Whether it may be used again. */
+        boolean isFit(long now) {
+            return channel.isActive() && now - idleSince <= keepIdleNs;
+        }
+
+        /** Whether what else the last answer may have brought would have come; a fresh one need not rest. */
+        boolean isRested(long now) {
+            return !used || now - idleSince >= restNs;
+        }
+
         void send(Attempt next) {
+            used = true;
             attempt = next;
             next.connection = this;
             written = false;
@@ -495,6 +535,7 @@
             stopTimers();
             attempt = null;
             result = null;
+            idleSince = System.nanoTime();
             if (reusable) {
                 channel.config().setAutoRead(true);
                 park();
