--- /dev/null
+++ b/src/main/java/cedarrelay/node/BackOff.java
@@ -0,0 +1,30 @@
+package cedarrelay.node;
+
+import java.util.SplittableRandom;
+
+/** Waits before something is tried again: doubled each time up to a bound, and never in step with others. */
+final class BackOff {
+    private final SplittableRandom random;
+    private final long firstMs;
+    private final long mostMs;
+    private long nextMs;
+
+    BackOff(long seed, long firstMs, long mostMs) {
+        random = new SplittableRandom(seed);
+        this.firstMs = firstMs;
+        this.mostMs = mostMs;
+        nextMs = firstMs;
+    }
+
+    /** How long to wait now: from a half to one and a half of the wait that is due. */
+    long waitMs() {
+        long wait = nextMs / 2 + random.nextLong(nextMs + 1);
+        nextMs = Math.min(mostMs, 2 * nextMs);
+        return wait;
+    }
+
+    /** It has worked. */
+    void reset() {
+        nextMs = firstMs;
+    }
+}
--- a/src/main/java/cedarrelay/node/Node.java
+++ b/src/main/java/cedarrelay/node/Node.java
@@ -50,8 +50,9 @@
     private static final long PROBE_US = 250_000;
     /** An answer that is out of time is still coming if some of it came within this. */
     private static final long SILENT_MS = 250;
-    /** A pushed list costs nothing to ask for. */
-    private static final long WATCH_AGAIN_MS = 500;
+    /** Until a watch that broke is asked for again, the first time and at most. */
+    private static final long WATCH_AGAIN_MS = 100;
+    private static final long WATCH_AGAIN_MOST_MS = 2_000;
     /** Connections come for up to 0.4 s after the word to stop, and their requests just after. */
     private static final long ACCEPT_WHILE_STOPPING_MS = 600;
     private static final long DONE_CHECK_MS = 5;
@@ -66,6 +67,7 @@
     private final Sockets sockets;
     private final ServerPool pool;
     private final Discovery discovery;
+    private final BackOff watchAgain;
     private final ClientServer clients;
     private final long originNs = System.nanoTime();
     /** The clock starts at Unix time and then only follows the monotonic one, so that a list's boot times
@@ -219,6 +221,7 @@
                 ServerPool.REST_MS);
         clients = new ClientServer(loop, sockets, new ClientRequest.Reader(config.settings()), lifecycle,
                 figures, this::take);
+        watchAgain = new BackOff(config.seed(), WATCH_AGAIN_MS, WATCH_AGAIN_MOST_MS);
         discovery = new Discovery(loop, config.discovery(), config.known().revision(),
                 Discovery.SILENT_MS, this);
     }
@@ -548,6 +551,7 @@
 
     @Override
     public void onList(ServerList list) {
+        watchAgain.reset();
         takeList(list.all() ? ListKind.FULL : ListKind.CHANGES, list);
     }
 
@@ -556,7 +560,7 @@
         LOG.log(Level.INFO, "the watch on the list failed: {0}", reason);
         enter(null, () -> balancer.onListFailed(nowUs()));
         if (!config.settings().listOnRequest) {
-            loop.schedule(discovery::subscribe, WATCH_AGAIN_MS, TimeUnit.MILLISECONDS);
+            loop.schedule(discovery::subscribe, watchAgain.waitMs(), TimeUnit.MILLISECONDS);
         }
     }
 
