--- a/src/main/java/cedarrelay/node/AnswerDecoder.java
+++ b/src/main/java/cedarrelay/node/AnswerDecoder.java
@@ -1,6 +1,5 @@
 package cedarrelay.node;
 
-import io.netty.handler.codec.http.HttpConstants;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.util.AsciiString;
@@ -25,18 +24,14 @@
         return super.createMessage(initialLine);
     }
 
-    /** Both a length and chunks: one of them is a lie. */
     @Override
     protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
-        throw new IllegalArgumentException("framed in two ways");
+        throw Letter.framedTwice();
     }
 
-    /** Netty lets a name end at white space too, and then does without the colon. */
     @Override
     protected AsciiString splitHeaderName(byte[] line, int start, int length) {
-        if (length == 0 || line[start + length] != HttpConstants.COLON) {
-            throw new IllegalArgumentException("a header line that is not a name and a colon");
-        }
+        Letter.requireColon(line, start, length);
         return super.splitHeaderName(line, start, length);
     }
 }
--- a/src/main/java/cedarrelay/node/ClientConnection.java
+++ b/src/main/java/cedarrelay/node/ClientConnection.java
@@ -215,7 +215,7 @@
             if (larger) {
                 throw tooLarge();
             }
-            if (RequestDecoder.isCodedUnread(head)) {
+            if (Letter.isCodedUnread(head)) {
                 throw new BadRequest(HttpResponseStatus.BAD_REQUEST, "unknown transfer coding");
             }
             if (expects && !HttpUtil.is100ContinueExpected(head)) {
--- a/src/main/java/cedarrelay/node/IncomingAnswer.java
+++ b/src/main/java/cedarrelay/node/IncomingAnswer.java
@@ -4,7 +4,6 @@
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -68,8 +67,7 @@
     /** Whether its body is in a form that is not read here, or it leaves HTTP/1.1, which nobody asked. */
     private static boolean isUnread(HttpResponse response) {
         return response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)
-                || response.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING).stream()
-                        .anyMatch(coding -> !HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(coding));
+                || Letter.isCodedUnread(response);
     }
 
     private void body(ByteBuf part) {
--- a/src/main/java/cedarrelay/node/RequestDecoder.java
+++ b/src/main/java/cedarrelay/node/RequestDecoder.java
@@ -1,8 +1,5 @@
 package cedarrelay.node;
 
-import io.netty.handler.codec.http.HttpConstants;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.util.AsciiString;
@@ -28,20 +25,12 @@
 
     @Override
     protected AsciiString splitHeaderName(byte[] line, int start, int length) {
-        if (length == 0 || line[start + length] != HttpConstants.COLON) {
-            throw new IllegalArgumentException("a header line that is not a name and a colon");
-        }
+        Letter.requireColon(line, start, length);
         return super.splitHeaderName(line, start, length);
     }
 
     @Override
     protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
-        throw new IllegalArgumentException("framed in two ways");
-    }
-
-    /** Whether its body comes in a coding that is not read here. */
-    static boolean isCodedUnread(HttpMessage head) {
-        return head.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING).stream()
-                .anyMatch(coding -> !HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(coding));
+        throw Letter.framedTwice();
     }
 }
