--- a/src/main/java/cedarrelay/node/ServerPool.java
+++ b/src/main/java/cedarrelay/node/ServerPool.java
@@ -43,6 +43,8 @@
     /** How long a connection rests after an answer. Some servers send more than belongs to it; what comes
      * after the next request was written would be read as its answer. Seen: up to 0.2 ms later. */
     static final long REST_MS = 2;
+    /** For so long after such a thing was seen. A rest costs the connections that servers close meanwhile. */
+    private static final long STRAY_KEPT_NS = TimeUnit.MINUTES.toNanos(1);
     /** How long an answer whose length is not known is held in the hope that it is short. */
     private static final long HOLD_MS = 50;
     /** A server that gives nothing of a long answer, or takes nothing of a request, for so long will not go
@@ -145,6 +147,9 @@
     private final Bootstrap bootstrap;
     private final long keepIdleNs;
     private final long restNs;
+    /** Whether a server has sent more than belonged to an answer, and when one last did. */
+    private boolean strayed;
+    private long strayAt;
     private final ScheduledFuture<?> sweeper;
     private final Map<String, Server> servers = new HashMap<>();
 
@@ -236,6 +241,12 @@
         return null;
     }
 
+    /** Some server sends more than belongs to an answer: connections rest from now on. */
+    void strayed() {
+        strayed = true;
+        strayAt = System.nanoTime();
+    }
+
     /** Connections at rest take what waits as soon as they have rested, if no new one has by then. */
     private void serveOnceRested(Server server) {
         if (!server.idle.isEmpty() && !server.waiting.isEmpty()) {
@@ -379,7 +390,7 @@
 
         /** Whether what else the last answer may have brought would have come; a fresh one need not rest. */
         boolean isRested(long now) {
-            return !used || now - idleSince >= restNs;
+            return !used || !strayed || now - strayAt > STRAY_KEPT_NS || now - idleSince >= restNs;
         }
 
         void send(Attempt next) {
@@ -438,6 +449,7 @@
         private void read(Object message) {
             if (attempt == null || result != null) {
                 // Nothing was asked for, or a second answer came with the first.
+                strayed();
                 reusable = false;
                 drop();
                 return;
@@ -593,6 +605,7 @@
             public void channelRead(ChannelHandlerContext ctx, Object message) {
                 if (attempt == null) {
                     ReferenceCountUtil.release(message);
+                    strayed();
                     drop();
                 } else {
                     ctx.fireChannelRead(message);
