--- a/src/main/java/cedarrelay/node/ServerPool.java
+++ b/src/main/java/cedarrelay/node/ServerPool.java
@@ -448,8 +448,10 @@
 
         private void read(Object message) {
             if (attempt == null || result != null) {
-                // Nothing was asked for, or a second answer came with the first.
-                strayed();
+                // What follows a broken answer, or a second answer that came with the first.
+                if (result != null) {
+                    strayed();
+                }
                 reusable = false;
                 drop();
                 return;
