--- a/src/main/java/cedarrelay/Balancer.java
+++ b/src/main/java/cedarrelay/Balancer.java
@@ -243,6 +243,8 @@
         public long tickUs = 1_000;
         /** Time allowed to open a connection. */
         public long connectTimeoutUs = 250_000;
+        /** Servers close a connection that has been idle for so long; nodes do so at half of it. */
+        public long connIdleUs = 15_000_000;
         /** Whether the server list must be asked for. */
         public boolean listOnRequest;
         /** Where it must be asked for: without a subscription, ask at least this often. */
@@ -279,6 +281,7 @@
             requireTime(drainGraceUs, "drainGraceUs");
             requireTime(connectTimeoutUs, "connectTimeoutUs");
             requireTime(askWithinUs, "askWithinUs");
+            requireTime(connIdleUs, "connIdleUs");
             requireTime(maxRetryAfterUs, "maxRetryAfterUs");
             require(overShareWorth >= 0, "overShareWorth is negative");
             require(crossZonePrice >= 0, "crossZonePrice is negative");
--- a/src/main/java/cedarrelay/ServiceQBalancer.java
+++ b/src/main/java/cedarrelay/ServiceQBalancer.java
@@ -47,6 +47,8 @@
     /** Paces that differ by less are alike: so a server is tried again once its trouble is nearly
      * forgotten. */
     private static final double PACE_ALIKE = 0.05;
+    /** What a new connection adds to an answer, in usual ones: up to three round trips and 3 ms of work. */
+    private static final double HANDSHAKE = 0.2;
     /** Part of attempts answered in time under which a node throttles: lower than any overload alone
      * brings. */
     private static final double THROTTLE_BELOW = 0.3;
@@ -114,7 +116,6 @@
     private static final double SHARE_BURST_S = 1;
     /** First wait before a failed list call is made again; doubled each time. */
     private static final long LIST_BACKOFF_US = 250_000;
-
     private static final Comparator<Call> BY_VALUE = Comparator.comparingDouble(call -> -call.value);
 
     private final Settings set;
@@ -390,6 +391,9 @@
         Result result = outcome.result();
         call.results[attempt] = result;
         call.outstanding--;
+        if (result == Result.OK || result == Result.ERROR || result == Result.FULL) {
+            server.leaveConnection(now, now - set.connIdleUs / 2);
+        }
         if (!call.passing) {
             learn(call, attempt, outcome);
         } else if (result == Result.RESET || result == Result.TIMEOUT) {
@@ -415,9 +419,8 @@
         } else if (result != Result.CANCELLED && result != Result.MOOT) {
             // A time-out of a server that has answered since tells of crowding, not of silence, as being
             // full does: the limit heeds it.
-            boolean crowded = result == Result.FULL
-                    || result == Result.TIMEOUT && server.answeredAt >= call.sentAt[attempt];
-            failed(server, !crowded);
+            boolean answers = server.answeredAt >= call.sentAt[attempt];
+            failed(server, result != Result.FULL && (result != Result.TIMEOUT || !answers));
             if (result != Result.FULL && result != Result.TIMEOUT) {
                 server.faults += PACE_GAIN * (1 - server.faults);
                 learnPace(server, FAULT_PACE);
@@ -680,8 +683,7 @@
     }
 
     /**
-     * Exception, asking: where probes are allowed and nodes outnumber servers, so that own requests in
-     * flight tell nothing and what a node knows of a server is seconds old, both servers drawn are probed
+     * Exception, asking: where probes are allowed and nodes outnumber servers, both servers drawn are probed
      * and the request goes to the one that answers first; if neither does soon, the draw decides as ever.
      */
     private boolean ask(Call call) {
@@ -757,18 +759,30 @@
             return second;
         }
         // Exception, ties: a node among many has nothing in flight nearly everywhere, so a tie goes to the
-        // server whose answers were quicker for their class of late (i9ce813).
-        double difference = pace(first) - pace(second);
+        // server whose answers were quicker for their class of late (i9ce813), a handshake counted in.
+        double difference = pace(first) + handshake(first) - pace(second) - handshake(second);
         boolean toss = Math.abs(difference) < PACE_ALIKE;
         return (toss ? random.nextInt(2) == 0 : difference > 0) ? second : first;
     }
 
     /** How long a server takes for what takes others 1, as far as this node knows; forgotten with time. */
     private double pace(Server server) {
-        double forgetUs = PACE_KEPT * servedGapUs * Math.max(1, ready.length);
+        double forgetUs = PACE_KEPT * roundUs();
         return 1 + (server.pace - 1) * Math.exp(-(now - server.paceAt) / forgetUs);
     }
 
+    /** The time in which this node asks each server once. */
+    private double roundUs() {
+        return servedGapUs * Math.max(1, ready.length);
+    }
+
+    /** What opening a connection costs a request, shared with those that it will carry before it is idle. */
+    private double handshake(Server server) {
+        long idleUs = set.connIdleUs / 2;
+        double part = HANDSHAKE * Math.min(1, roundUs() / (idleUs + 1));
+        return part < PACE_ALIKE || server.isAtHand(now - idleUs) ? 0 : part;
+    }
+
     private void learnPace(Server server, double ratio) {
         double before = pace(server);
         server.pace = before + PACE_GAIN * (ratio - before);
@@ -825,10 +839,7 @@
         }
     }
 
-    /**
-     * The paper's weight. Exception, sizes: servers are not alike, so it counts for each part of a server's
-     * size by the list; where all sizes are the same, nothing changes.
-     */
+    /** The paper's weight. Exception, sizes: it counts for each part of a server's size by the list. */
     private double weight(Server server) {
         return server.size * Math.ceil(largestEffect / (1 + server.errors));
     }
@@ -943,9 +954,8 @@
 
     /**
      * Exception, concurrency limits: each server's limit grows when it was met while a request was out
-     * that was answered well inside the aim, and falls when answers are slow or requests are turned away.
-     * Acts only when a draw would exceed a server's limit, or the node the sum of all limits (with many
-     * nodes a server's part is under one).
+     * that was answered well inside the aim, and falls when answers are slow. Acts only when a draw would
+     * exceed it, or the node the sum of all limits (with many nodes a server's part is under one).
      */
     private void adaptLimit(Call call, int attempt, Outcome outcome) {
         Server server = call.servers[attempt];
@@ -1003,9 +1013,7 @@
 
     /**
      * Exception, throttling: once under {@link #THROTTLE_BELOW} of attempts are answered in time, a node
-     * sends {@link #THROTTLE} times what is answered in time, and a little to see whether that still
-     * holds: a fleet that has turned slow under its load recovers only if nearly nothing comes (i6d5d9b,
-     * ia25714).
+     * sends {@link #THROTTLE} times what is answered in time, and a little besides (i6d5d9b, ia25714).
      */
     private boolean isThrottled() {
         return health < THROTTLE_BELOW && sendTokens < 1;
@@ -1028,6 +1036,7 @@
         call.servers[attempt] = server;
         call.sentAt[attempt] = now;
         call.outstanding++;
+        server.takeConnection();
         // What is still on its way takes none of a server's work.
         occupy(server, call.uploading ? 0 : 1);
         // Gaps are counted from the first request on, not from the start of the clock.
@@ -1132,12 +1141,8 @@
 
     /**
      * Exception, slow start (rule 4): the unit is a cold server's part of what this node gets answered for
-     * each unit of the fleet's present capacity: sizes by the list, times the share that a cold server has
-     * at least. All nodes together may send so many units as the rule's multiple; each spends half of that
-     * and saves up little, so that no burst spends it at once, and begins with a random part of one request.
-     * A server's limit keeps it below even that if it is slow besides. Arrivals would not do as the measure:
-     * in a jam, clients' retries multiply them. Nor would sizes alone: while most servers are cold, the few
-     * warm ones would get what those may not have, and jam.
+     * each unit of the fleet's present capacity. All nodes together may send so many units as the rule's
+     * multiple; each spends half of that, saves up little and begins with a random part of one request.
      */
     private double coldRoom(Server server) {
         double unit = servedCount == 0 ? FIRST_GAP_US * presentWeight()
--- a/src/main/java/cedarrelay/benchlink/BootInfo.java
+++ b/src/main/java/cedarrelay/benchlink/BootInfo.java
@@ -55,6 +55,7 @@
         set.maxRetryAfterUs = flag("limits.retryAfter") ? whole("limits.maxRetryAfterUs", 0) : 0;
         set.tickUs = whole("quantumUs", set.tickUs);
         set.connectTimeoutUs = whole("limits.dialTimeoutUs", set.connectTimeoutUs);
+        set.connIdleUs = whole("limits.connIdleUs", set.connIdleUs);
         set.listOnRequest = "on_request".equals(values.get("membershipMode"));
         set.askWithinUs = whole("rules.askWithinUs", set.askWithinUs);
         set.drainGraceUs = whole("rules.drainGraceUs", set.drainGraceUs);
--- a/src/main/java/cedarrelay/node/Config.java
+++ b/src/main/java/cedarrelay/node/Config.java
@@ -23,13 +23,11 @@
  *
  * @param admin where operators call, or null if nowhere
  * @param sockets descriptors that the process may hold
- * @param connIdleUs servers close connections that have stood idle for so long
  */
 record Config(InetSocketAddress listen, InetSocketAddress discovery, InetSocketAddress admin, long seed,
-        int sockets, long connIdleUs, Settings settings, ServerList known) {
+        int sockets, Settings settings, ServerList known) {
 
     private static final int DEFAULT_SOCKETS = 1_024;
-    private static final String DEFAULT_IDLE_US = "15000000";
 
     /** Throws IllegalArgumentException with one line for the operator on what is missing or wrong. */
     static Config read(Map<String, String> environment) {
@@ -67,7 +65,7 @@
         return new Config(ServerList.address(text(environment, "LB_LISTEN", json, "listen")),
                 ServerList.address(text(environment, "LB_DISCOVERY", json, "discovery")),
                 admin(environment, json), seed(json), sockets(json),
-                whole(values.getOrDefault("limits.connIdleUs", DEFAULT_IDLE_US)), settings, known);
+                settings, known);
     }
 
     private static InetSocketAddress admin(Map<String, String> environment, JsonObject json) {
--- a/src/main/java/cedarrelay/node/Node.java
+++ b/src/main/java/cedarrelay/node/Node.java
@@ -217,7 +217,7 @@
         balancer = new ServiceQBalancer(config.settings(), config.seed(), this);
         figures = new Figures(config.settings().classes.stream().map(RequestClass::name).toList());
         sockets = new Sockets(config.sockets());
-        pool = new ServerPool(loop, sockets, config.settings().connectTimeoutUs, config.connIdleUs(),
+        pool = new ServerPool(loop, sockets, config.settings().connectTimeoutUs, config.settings().connIdleUs,
                 ServerPool.REST_MS);
         clients = new ClientServer(loop, sockets, new ClientRequest.Reader(config.settings()), lifecycle,
                 figures, this::take);
--- a/src/main/java/cedarrelay/node/Rehearsal.java
+++ b/src/main/java/cedarrelay/node/Rehearsal.java
@@ -49,7 +49,7 @@
         String zone = real.settings().zones.isEmpty() ? "" : real.settings().zones.get(0);
         ServerList itself = new ServerList(0, true, List.of(
                 new ServerList.Target("self", self, zone, 0, ServerState.READY, 1, 0)));
-        config = new Config(self, self, null, 1, SOCKETS, real.connIdleUs(), real.settings(), itself);
+        config = new Config(self, self, null, 1, SOCKETS, real.settings(), itself);
         node = new Node(config, loop);
     }
 
--- /dev/null
+++ b/src/test/java/cedarrelay/HandshakeTest.java
@@ -0,0 +1,74 @@
+package cedarrelay;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.HashSet;
+import java.util.Set;
+
+import org.junit.jupiter.api.Test;
+
+import cedarrelay.Balancer.Result;
+import cedarrelay.Balancer.Settings;
+
+/** Ties count a handshake in, where a connection would carry little before it has idled away. */
+class HandshakeTest {
+    private static final long IDLE_US = 10_000_000;
+    private static final int SERVERS = 10;
+
+    private static Node node() {
+        Settings set = Node.settings();
+        set.connIdleUs = IDLE_US;
+        return new Node(set, 7).with(SERVERS);
+    }
+
+    /** Servers used by so many requests, one after the other, each ending so after so long. */
+    private static Set<String> used(Node node, int requests, Result result, long gapUs) {
+        Set<String> used = new HashSet<>();
+        for (int i = 0; i < requests; i++) {
+            used.add(node.serve(Node.SAFE, result, 1_000));
+            node.advance(gapUs - 1_000);
+        }
+        return used;
+    }
+
+    @Test
+    void aNodeOfFewRequestsStaysWithTheServersItHasConnectionsTo() {
+        Node node = node();
+        // Two a second: it sees each of ten servers once in five seconds, as long as connections are kept.
+        used(node, 20, Result.OK, 500_000);
+        Set<String> before = used(node, 20, Result.OK, 500_000);
+        Set<String> after = used(node, 20, Result.OK, 500_000);
+        assertTrue(before.size() < SERVERS, before.toString());
+        after.removeAll(before);
+        assertTrue(after.size() <= 1, "new ones: " + after);
+    }
+
+    @Test
+    void aBusyNodeUsesAllServers() {
+        assertEquals(SERVERS, used(node(), 2_000, Result.OK, 2_000).size());
+    }
+
+    @Test
+    void aConnectionThatHasIdledAwayIsNotAtHand() {
+        Server server = new Server("s", 1);
+        server.leaveConnection(1_000, 0);
+        assertTrue(server.isAtHand(1_000));
+        assertTrue(!server.isAtHand(1_001), "closed by its node since");
+        server.leaveConnection(9_000, 5_000);
+        server.takeConnection();
+        assertTrue(!server.isAtHand(0), "the older one was closed, so there was only one");
+    }
+
+    @Test
+    void onlyWhatIsLeftIdleIsAtHand() {
+        Server server = new Server("s", 1);
+        server.takeConnection();
+        server.leaveConnection(1_000, 0);
+        server.leaveConnection(2_000, 0);
+        server.takeConnection();
+        assertTrue(server.isAtHand(2_000));
+        server.takeConnection();
+        assertTrue(!server.isAtHand(0));
+    }
+}
