Take lists that name a server twice, none at all, or thousands

Seen in tests: of a server named twice both entries went to the pool, which moved it and closed its connections with each message; on an empty list nothing was said. Now the last entry of each counts and one line says so; a list on which nobody is ready is said in a line; the module looks an entry up in a set instead of through its whole list, which for a full list of 5,000 was 12.5 million comparisons. Decisions on lists without such entries are the same.

--- a/src/main/java/cedarrelay/ServiceQBalancer.java
+++ b/src/main/java/cedarrelay/ServiceQBalancer.java
@@ -4,6 +4,7 @@
 import java.util.Arrays;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
@@ -30,8 +31,7 @@
     private static final double PACE_GAIN = 0.3;
     /** A pace is forgotten in so many times the time in which a node asks each server once. */
     private static final double PACE_KEPT = 12;
-    /** Times left that differ by less than this share of the deadline are the same: the way from the
-     * client. */
+    /** Times left that differ by less than this share of the deadline are the same. */
     private static final double USUAL_LEFT_WITHIN = 0.02;
     /** From this share of a class's requests on a time left is the one of first tries: in a jam most are
      * not. */
@@ -66,13 +66,11 @@
     private static final long MIN_SWEEP_US = 5_000;
     /** Share of a new value in a running mean: about the last 32 answers. */
     private static final double MEAN_GAIN = 1.0 / 32;
-    /** Gap between answers that a node assumes before it has seen any: careful with cold servers, for most
-     * of a large fleet's nodes may have just started. */
+    /** Gap between answers that a node assumes before it has seen any, careful with cold servers. */
     private static final double FIRST_GAP_US = 1_000_000;
     /** Requests in flight that all nodes together start with for each server: few enough for one core. */
     private static final double FIRST_LIMIT = 4;
-    /** Answers slower than this share of the aim say that a server is crowded: the rest is for chance, and
-     * a server that is crowded up to its aim may already have turned slower. */
+    /** Answers slower than this share of the aim say that a server is crowded: the rest is for chance. */
     private static final double CROWDED_AT = 0.35;
     /** Growth of a server's limit over all nodes for an answer in good time ... */
     private static final double LIMIT_STEP = 0.15;
@@ -80,8 +78,7 @@
     private static final double LIMIT_CUT = 0.1;
     /** Answers that take this many times the least mean of their class say so too, however far the aim is. */
     private static final double CROWDED_BY = 3;
-    /** The sum of the limits is a mean: so many of its roots pass on top, for a node with few requests has
-     * bursts that are no crowd (i9ce813: without it a node of many held requests while servers idled). */
+    /** The sum of the limits is a mean: so many of its roots pass on top for bursts (i9ce813). */
     private static final double BURST = 2.5;
     /** Growth of that least mean with each answer, so that it follows a change of work: by half in 4,000. */
     private static final double LEAST_DRIFT = 1.0001;
@@ -90,8 +87,8 @@
     private static final double LEARN_BY_NODES = 0.25;
     /** Cut of a limit for a request turned away or not answered in time, which is more than slow. */
     private static final double LIMIT_HARD_CUT = 0.3;
-    /** A waiting request with fewer of its class's usual latencies left to its aim is too late: in overload
-     * all that is served has waited up to this mark, and must have a good chance from there (i75e589) ... */
+    /** A waiting request with fewer of its class's usual latencies left to its aim is too late: from there
+     * it must have a good chance (i75e589) ... */
     private static final double TOO_LATE_AT = 2;
     /** ... but at most with this share of the aim left: while all servers are slow, some may still wait. */
     private static final double MOST_LATE_AT = 0.8;
@@ -126,7 +123,7 @@
     private final double limitCut;
 
     private final Map<String, Server> byId = new HashMap<>();
-    private final List<Server> listed = new ArrayList<>();
+    private final LinkedHashSet<Server> listed = new LinkedHashSet<>();
     private Server[] ready = new Server[0];
     /** What is drawn from: all servers that are ready, and those of this node's own zone. */
     private Pool everywhere = new Pool(ready);
@@ -220,7 +217,7 @@
             Server server = byId.computeIfAbsent(entry.id(), id -> new Server(id, FIRST_LIMIT / set.nodes));
             if (entry.state() == ServerState.GONE) {
                 listed.remove(server);
-            } else if (!listed.contains(server)) {
+            } else {
                 listed.add(server);
             }
             if (entry.startedAtUs() > server.startedAt) {
@@ -239,6 +236,9 @@
             server.size = Math.pow(server.weight, SIZE_POWER);
         }
         ready = listed.stream().filter(s -> s.state == ServerState.READY).toArray(Server[]::new);
+        if (ready.length == 0) {
+            log("no server is ready, of " + listed.size() + " on the list");
+        }
         for (int i = 0; i < ready.length; i++) {
             ready[i].position = i;
         }
--- a/src/main/java/cedarrelay/node/ServerList.java
+++ b/src/main/java/cedarrelay/node/ServerList.java
@@ -1,8 +1,11 @@
 package cedarrelay.node;
 
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
-import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 
 import cedarrelay.Balancer.ServerState;
 import com.google.gson.JsonElement;
@@ -17,6 +20,7 @@
  * @param all whether it is the whole list
  */
 record ServerList(long revision, boolean all, List<Target> targets) {
+    private static final Logger LOG = System.getLogger(ServerList.class.getName());
 
     /**
      * One server in it.
@@ -35,16 +39,27 @@
         }
     }
 
-    /** A message is taken whole or not at all: half of one would leave a list that never was. */
+    /**
+     * A message is taken whole or not at all: half of one would leave a list that never was. Of a server
+     * that it names more than once, the last entry counts.
+     */
     static ServerList of(JsonElement json) {
         try {
             JsonObject message = json.getAsJsonObject();
-            List<Target> targets = new ArrayList<>();
-            for (JsonElement target : message.getAsJsonArray("targets")) {
-                targets.add(target(target.getAsJsonObject()));
+            Map<String, Target> targets = new LinkedHashMap<>();
+            String contradicted = null;
+            for (JsonElement entry : message.getAsJsonArray("targets")) {
+                Target target = target(entry.getAsJsonObject());
+                Target earlier = targets.put(target.id(), target);
+                contradicted = earlier == null || earlier.equals(target) ? contradicted : target.id();
+            }
+            ServerList list = new ServerList(need(message, "rev").getAsLong(),
+                    need(message, "all").getAsBoolean(), List.copyOf(targets.values()));
+            if (contradicted != null) {
+                LOG.log(Level.WARNING, "list {0} contradicts itself on {1}, and maybe on others: the last"
+                        + " entry counts", Long.toString(list.revision), contradicted);
             }
-            return new ServerList(need(message, "rev").getAsLong(), need(message, "all").getAsBoolean(),
-                    List.copyOf(targets));
+            return list;
         } catch (IllegalStateException | NullPointerException | UnsupportedOperationException
                 | ClassCastException e) {
             throw new IllegalArgumentException("not a list of servers: " + e.getMessage(), e);
