--- a/src/main/java/cedarrelay/ServiceQBalancer.java
+++ b/src/main/java/cedarrelay/ServiceQBalancer.java
@@ -49,11 +49,10 @@
     private static final double PACE_ALIKE = 0.05;
     /** What a new connection adds to an answer, in usual ones: up to three round trips and 3 ms of work. */
     private static final double HANDSHAKE = 0.2;
-    /** Part of attempts answered in time under which a node throttles: lower than any overload alone
-     * brings. */
-    private static final double THROTTLE_BELOW = 0.3;
     /** A throttled node sends what is answered in time so many times over: enough to come back in seconds. */
     private static final double THROTTLE = 2;
+    /** Part of attempts answered in time under which a node throttles, and sends less by that each time. */
+    private static final double THROTTLE_BELOW = 1 / THROTTLE;
     /** Part of what it is asked for that a throttled node sends in any case. */
     private static final double THROTTLE_FLOOR = 0.03;
     /** An answer inside so many times its class's least mean latency owes its length to the work. */
