Give a new node room for bursts only as its first answers come

Each could have 2.4 + 3.9 requests in flight, 6 to 7 for each server all together. Now 2.4 until answers come, and all of the room after 16. FirstBurstTest fails without it; the guard of the sum and its burst in MechanismTest asks for the same 9 requests, after 16 answers.

--- a/src/main/java/cedarrelay/ServiceQBalancer.java
+++ b/src/main/java/cedarrelay/ServiceQBalancer.java
@@ -1001,9 +1001,9 @@
             return true;
         }
         // The sum guards against a stall: what many nodes may each have at every server is then out at
-        // once. A burst's room shrinks with health, none at half: a fleet in overload tips over by bursts
-        // (i6d5d9b).
-        double burst = BURST * Math.max(0, 2 * health - 1) * Math.sqrt(limits);
+        // once. A burst's room grows with the first answers and shrinks with health, none at half (i6d5d9b).
+        double well = Math.min(1, HEALTH_GAIN * servedCount) * Math.max(0, 2 * health - 1);
+        double burst = BURST * well * Math.sqrt(limits);
         if (isAtLimit(server) || inFlight > 0 && inFlight + 1 > limits + burst) {
             server.wantedAt = now;
             return true;
