--- a/src/main/java/cedarrelay/ServiceQBalancer.java
+++ b/src/main/java/cedarrelay/ServiceQBalancer.java
@@ -4,6 +4,7 @@
 import java.util.Arrays;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
@@ -30,8 +31,7 @@
     private static final double PACE_GAIN = 0.3;
     /** A pace is forgotten in so many times the time in which a node asks each server once. */
     private static final double PACE_KEPT = 12;
-    /** Times left that differ by less than this share of the deadline are the same: the way from the
-     * client. */
+    /** Times left that differ by less than this share of the deadline are the same. */
     private static final double USUAL_LEFT_WITHIN = 0.02;
     /** From this share of a class's requests on a time left is the one of first tries: in a jam most are
      * not. */
@@ -47,11 +47,12 @@
     /** Paces that differ by less are alike: so a server is tried again once its trouble is nearly
      * forgotten. */
     private static final double PACE_ALIKE = 0.05;
-    /** Part of attempts answered in time under which a node throttles: lower than any overload alone
-     * brings. */
-    private static final double THROTTLE_BELOW = 0.3;
+    /** What a new connection adds to an answer, in usual ones: up to three round trips and 3 ms of work. */
+    private static final double HANDSHAKE = 0.2;
     /** A throttled node sends what is answered in time so many times over: enough to come back in seconds. */
     private static final double THROTTLE = 2;
+    /** Part of attempts answered in time under which a node throttles, and sends less by that each time. */
+    private static final double THROTTLE_BELOW = 1 / THROTTLE;
     /** Part of what it is asked for that a throttled node sends in any case. */
     private static final double THROTTLE_FLOOR = 0.03;
     /** An answer inside so many times its class's least mean latency owes its length to the work. */
@@ -64,13 +65,11 @@
     private static final long MIN_SWEEP_US = 5_000;
     /** Share of a new value in a running mean: about the last 32 answers. */
     private static final double MEAN_GAIN = 1.0 / 32;
-    /** Gap between answers that a node assumes before it has seen any: careful with cold servers, for most
-     * of a large fleet's nodes may have just started. */
+    /** Gap between answers that a node assumes before it has seen any, careful with cold servers. */
     private static final double FIRST_GAP_US = 1_000_000;
     /** Requests in flight that all nodes together start with for each server: few enough for one core. */
     private static final double FIRST_LIMIT = 4;
-    /** Answers slower than this share of the aim say that a server is crowded: the rest is for chance, and
-     * a server that is crowded up to its aim may already have turned slower. */
+    /** Answers slower than this share of the aim say that a server is crowded: the rest is for chance. */
     private static final double CROWDED_AT = 0.35;
     /** Growth of a server's limit over all nodes for an answer in good time ... */
     private static final double LIMIT_STEP = 0.15;
@@ -78,8 +77,7 @@
     private static final double LIMIT_CUT = 0.1;
     /** Answers that take this many times the least mean of their class say so too, however far the aim is. */
     private static final double CROWDED_BY = 3;
-    /** The sum of the limits is a mean: so many of its roots pass on top, for a node with few requests has
-     * bursts that are no crowd (i9ce813: without it a node of many held requests while servers idled). */
+    /** The sum of the limits is a mean: so many of its roots pass on top for bursts (i9ce813). */
     private static final double BURST = 2.5;
     /** Growth of that least mean with each answer, so that it follows a change of work: by half in 4,000. */
     private static final double LEAST_DRIFT = 1.0001;
@@ -88,8 +86,8 @@
     private static final double LEARN_BY_NODES = 0.25;
     /** Cut of a limit for a request turned away or not answered in time, which is more than slow. */
     private static final double LIMIT_HARD_CUT = 0.3;
-    /** A waiting request with fewer of its class's usual latencies left to its aim is too late: in overload
-     * all that is served has waited up to this mark, and must have a good chance from there (i75e589) ... */
+    /** A waiting request with fewer of its class's usual latencies left to its aim is too late: from there
+     * it must have a good chance (i75e589) ... */
     private static final double TOO_LATE_AT = 2;
     /** ... but at most with this share of the aim left: while all servers are slow, some may still wait. */
     private static final double MOST_LATE_AT = 0.8;
@@ -114,7 +112,6 @@
     private static final double SHARE_BURST_S = 1;
     /** First wait before a failed list call is made again; doubled each time. */
     private static final long LIST_BACKOFF_US = 250_000;
-
     private static final Comparator<Call> BY_VALUE = Comparator.comparingDouble(call -> -call.value);
 
     private final Settings set;
@@ -125,7 +122,7 @@
     private final double limitCut;
 
     private final Map<String, Server> byId = new HashMap<>();
-    private final List<Server> listed = new ArrayList<>();
+    private final LinkedHashSet<Server> listed = new LinkedHashSet<>();
     private Server[] ready = new Server[0];
     /** What is drawn from: all servers that are ready, and those of this node's own zone. */
     private Pool everywhere = new Pool(ready);
@@ -219,7 +216,7 @@
             Server server = byId.computeIfAbsent(entry.id(), id -> new Server(id, FIRST_LIMIT / set.nodes));
             if (entry.state() == ServerState.GONE) {
                 listed.remove(server);
-            } else if (!listed.contains(server)) {
+            } else {
                 listed.add(server);
             }
             if (entry.startedAtUs() > server.startedAt) {
@@ -238,6 +235,9 @@
             server.size = Math.pow(server.weight, SIZE_POWER);
         }
         ready = listed.stream().filter(s -> s.state == ServerState.READY).toArray(Server[]::new);
+        if (ready.length == 0) {
+            log("no server is ready, of " + listed.size() + " on the list");
+        }
         for (int i = 0; i < ready.length; i++) {
             ready[i].position = i;
         }
@@ -390,6 +390,9 @@
         Result result = outcome.result();
         call.results[attempt] = result;
         call.outstanding--;
+        if (result == Result.OK || result == Result.ERROR || result == Result.FULL) {
+            server.leaveConnection(now, now - set.connIdleUs / 2);
+        }
         if (!call.passing) {
             learn(call, attempt, outcome);
         } else if (result == Result.RESET || result == Result.TIMEOUT) {
@@ -415,9 +418,8 @@
         } else if (result != Result.CANCELLED && result != Result.MOOT) {
             // A time-out of a server that has answered since tells of crowding, not of silence, as being
             // full does: the limit heeds it.
-            boolean crowded = result == Result.FULL
-                    || result == Result.TIMEOUT && server.answeredAt >= call.sentAt[attempt];
-            failed(server, !crowded);
+            boolean answers = server.answeredAt >= call.sentAt[attempt];
+            failed(server, result != Result.FULL && (result != Result.TIMEOUT || !answers));
             if (result != Result.FULL && result != Result.TIMEOUT) {
                 server.faults += PACE_GAIN * (1 - server.faults);
                 learnPace(server, FAULT_PACE);
@@ -434,9 +436,10 @@
             boolean late = result != Result.OK || now > call.aimAt;
             lateShare += MEAN_GAIN * ((late ? 1 : 0) - lateShare);
             if (result == Result.OK || result == Result.TIMEOUT) {
-                // An error says nothing of crowding, nor does work that takes longer than its aim at best.
-                double least = leastLatencyUs[call.request.classIndex()];
-                boolean longAtBest = least < Double.MAX_VALUE && outcome.latencyUs() < AT_BEST * least;
+                // An error says nothing of crowding, nor does work that takes longer than its aim at best,
+                // as all may until that is known.
+                boolean longAtBest = outcome.latencyUs()
+                        < AT_BEST * leastLatencyUs[call.request.classIndex()];
                 learnHealth(result != Result.OK ? 0
                         : now <= call.aimAt || longAtBest ? 1 : call.cls.lateWorth());
             }
@@ -680,8 +683,7 @@
     }
 
     /**
-     * Exception, asking: where probes are allowed and nodes outnumber servers, so that own requests in
-     * flight tell nothing and what a node knows of a server is seconds old, both servers drawn are probed
+     * Exception, asking: where probes are allowed and nodes outnumber servers, both servers drawn are probed
      * and the request goes to the one that answers first; if neither does soon, the draw decides as ever.
      */
     private boolean ask(Call call) {
@@ -757,18 +759,30 @@
             return second;
         }
         // Exception, ties: a node among many has nothing in flight nearly everywhere, so a tie goes to the
-        // server whose answers were quicker for their class of late (i9ce813).
-        double difference = pace(first) - pace(second);
+        // server whose answers were quicker for their class of late (i9ce813), a handshake counted in.
+        double difference = pace(first) + handshake(first) - pace(second) - handshake(second);
         boolean toss = Math.abs(difference) < PACE_ALIKE;
         return (toss ? random.nextInt(2) == 0 : difference > 0) ? second : first;
     }
 
     /** How long a server takes for what takes others 1, as far as this node knows; forgotten with time. */
     private double pace(Server server) {
-        double forgetUs = PACE_KEPT * servedGapUs * Math.max(1, ready.length);
+        double forgetUs = PACE_KEPT * roundUs();
         return 1 + (server.pace - 1) * Math.exp(-(now - server.paceAt) / forgetUs);
     }
 
+    /** The time in which this node asks each server once. */
+    private double roundUs() {
+        return servedGapUs * Math.max(1, ready.length);
+    }
+
+    /** What opening a connection costs a request, shared with those that it will carry before it is idle. */
+    private double handshake(Server server) {
+        long idleUs = set.connIdleUs / 2;
+        double part = HANDSHAKE * Math.min(1, roundUs() / (idleUs + 1));
+        return part < PACE_ALIKE || server.isAtHand(now - idleUs) ? 0 : part;
+    }
+
     private void learnPace(Server server, double ratio) {
         double before = pace(server);
         server.pace = before + PACE_GAIN * (ratio - before);
@@ -825,10 +839,7 @@
         }
     }
 
-    /**
-     * The paper's weight. Exception, sizes: servers are not alike, so it counts for each part of a server's
-     * size by the list; where all sizes are the same, nothing changes.
-     */
+    /** The paper's weight. Exception, sizes: it counts for each part of a server's size by the list. */
     private double weight(Server server) {
         return server.size * Math.ceil(largestEffect / (1 + server.errors));
     }
@@ -943,9 +954,8 @@
 
     /**
      * Exception, concurrency limits: each server's limit grows when it was met while a request was out
-     * that was answered well inside the aim, and falls when answers are slow or requests are turned away.
-     * Acts only when a draw would exceed a server's limit, or the node the sum of all limits (with many
-     * nodes a server's part is under one).
+     * that was answered well inside the aim, and falls when answers are slow. Acts only when a draw would
+     * exceed it, or the node the sum of all limits (with many nodes a server's part is under one).
      */
     private void adaptLimit(Call call, int attempt, Outcome outcome) {
         Server server = call.servers[attempt];
@@ -1003,9 +1013,7 @@
 
     /**
      * Exception, throttling: once under {@link #THROTTLE_BELOW} of attempts are answered in time, a node
-     * sends {@link #THROTTLE} times what is answered in time, and a little to see whether that still
-     * holds: a fleet that has turned slow under its load recovers only if nearly nothing comes (i6d5d9b,
-     * ia25714).
+     * sends {@link #THROTTLE} times what is answered in time, and a little besides (i6d5d9b, ia25714).
      */
     private boolean isThrottled() {
         return health < THROTTLE_BELOW && sendTokens < 1;
@@ -1028,6 +1036,7 @@
         call.servers[attempt] = server;
         call.sentAt[attempt] = now;
         call.outstanding++;
+        server.takeConnection();
         // What is still on its way takes none of a server's work.
         occupy(server, call.uploading ? 0 : 1);
         // Gaps are counted from the first request on, not from the start of the clock.
@@ -1132,12 +1141,8 @@
 
     /**
      * Exception, slow start (rule 4): the unit is a cold server's part of what this node gets answered for
-     * each unit of the fleet's present capacity: sizes by the list, times the share that a cold server has
-     * at least. All nodes together may send so many units as the rule's multiple; each spends half of that
-     * and saves up little, so that no burst spends it at once, and begins with a random part of one request.
-     * A server's limit keeps it below even that if it is slow besides. Arrivals would not do as the measure:
-     * in a jam, clients' retries multiply them. Nor would sizes alone: while most servers are cold, the few
-     * warm ones would get what those may not have, and jam.
+     * each unit of the fleet's present capacity. All nodes together may send so many units as the rule's
+     * multiple; each spends half of that, saves up little and begins with a random part of one request.
      */
     private double coldRoom(Server server) {
         double unit = servedCount == 0 ? FIRST_GAP_US * presentWeight()
