--- a/src/main/java/cedarrelay/Balancer.java
+++ b/src/main/java/cedarrelay/Balancer.java
@@ -243,7 +243,7 @@
         public long tickUs = 1_000;
         /** Time allowed to open a connection. */
         public long connectTimeoutUs = 250_000;
-        /** Servers close a connection that has been idle for so long; nodes do so at half of it. */
+        /** Servers close a connection that has been idle for so long. */
         public long connIdleUs = 15_000_000;
         /** Whether the server list must be asked for. */
         public boolean listOnRequest;
@@ -269,6 +269,12 @@
         /** What load reports hold, in order; empty if there are none. */
         public List<ReportField> reportFields = new ArrayList<>();
 
+        /** How long a node keeps an idle connection: what is written to one that a server is just closing
+         * may have run for all we know. */
+        public long keepIdleUs() {
+            return connIdleUs / 2;
+        }
+
         /** Throws IllegalArgumentException, naming the field, if a setting is missing or out of range. */
         void validate() {
             require(!classes.isEmpty(), "classes is empty");
--- a/src/main/java/cedarrelay/ServiceQBalancer.java
+++ b/src/main/java/cedarrelay/ServiceQBalancer.java
@@ -391,7 +391,7 @@
         call.results[attempt] = result;
         call.outstanding--;
         if (result == Result.OK || result == Result.ERROR || result == Result.FULL) {
-            server.leaveConnection(now, now - set.connIdleUs / 2);
+            server.leaveConnection(now, now - set.keepIdleUs());
         }
         if (!call.passing) {
             learn(call, attempt, outcome);
@@ -778,7 +778,7 @@
 
     /** What opening a connection costs a request, shared with those that it will carry before it is idle. */
     private double handshake(Server server) {
-        long idleUs = set.connIdleUs / 2;
+        long idleUs = set.keepIdleUs();
         double part = HANDSHAKE * Math.min(1, roundUs() / (idleUs + 1));
         return part < PACE_ALIKE || server.isAtHand(now - idleUs) ? 0 : part;
     }
