Lay the project out as a reactor; ./tansypass node, check, status and drain on TOML

Need: all that is to come (membership, list service, shared state, duties) has to be proved with several processes of one program, and there was one way to start one node, from the platform's JSON.

Change: node and module moved as they are into node/, built alone by deploy/balancer.toml (-pl node), so that its jar holds what it held; config/ reads TOML into one typed model and names every fault with file, line, key, value and what is allowed; cli/ has the commands (picocli) and the log (SLF4J, Logback: text or JSON lines, bounded queue that never blocks, drops counted). A TOML file is turned into the platform's JSON, so the node keeps one way to be told. In the node: Main.serve takes its JSON from a caller, and discovery may be "none" for a list that stays as it is. Not taken: a second parser inside the node (two ways to be told would have to be proved against the platform both), Jackson's TOML (it keeps no lines of values).

--- /dev/null
+++ b/cli/src/main/java/tansypass/cli/Logs.java
@@ -0,0 +1,96 @@
+package tansypass.cli;
+
+import java.util.concurrent.atomic.AtomicLong;
+
+import ch.qos.logback.classic.AsyncAppender;
+import ch.qos.logback.classic.Level;
+import ch.qos.logback.classic.LoggerContext;
+import ch.qos.logback.classic.encoder.JsonEncoder;
+import ch.qos.logback.classic.encoder.PatternLayoutEncoder;
+import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.core.ConsoleAppender;
+import ch.qos.logback.core.encoder.Encoder;
+import ch.qos.logback.core.encoder.EncoderBase;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import tansypass.config.NodeFile.LogFormat;
+import tansypass.config.NodeFile.LogLevel;
+import tansypass.config.NodeFile.LogSettings;
+
+/**
+ * The log of this process: lines on standard error through a bounded queue that never makes a caller wait.
+ * What does not fit is dropped and counted.
+ */
+final class Logs {
+    /** Time, level, thread, logger, message, then the fields; nothing in a line can begin another one. */
+    private static final String LINE = "%d{yyyy-MM-dd'T'HH:mm:ss.SSSXXX,UTC} %-5level [%thread] %logger{0}:"
+            + " %replace(%msg){'\\p{Cntrl}', '?'} %replace(%kvp){'\\p{Cntrl}', '?'}"
+            + "%replace(%ex){'[\\r\\n\\t]+', ' | '}%nopex%n";
+    private static final AtomicLong DROPPED = new AtomicLong();
+
+    private Logs() { }
+
+    /** Sets all of it, in place of what was there. */
+    static void set(LogSettings settings) {
+        LoggerContext context = (LoggerContext) LoggerFactory.getILoggerFactory();
+        context.reset();
+        ConsoleAppender<ILoggingEvent> console = new ConsoleAppender<>();
+        console.setContext(context);
+        console.setTarget("System.err");
+        console.setEncoder(encoder(context, settings.format()));
+        console.start();
+        Counting queue = new Counting();
+        queue.setContext(context);
+        queue.setQueueSize(settings.queue());
+        queue.setNeverBlock(true);
+        queue.setDiscardingThreshold(0);
+        queue.addAppender(console);
+        queue.start();
+        context.getLogger(Logger.ROOT_LOGGER_NAME).addAppender(queue);
+        level(settings.level());
+    }
+
+    /** May change while the process runs. */
+    static void level(LogLevel level) {
+        ((LoggerContext) LoggerFactory.getILoggerFactory()).getLogger(Logger.ROOT_LOGGER_NAME)
+                .setLevel(Level.valueOf(level.name()));
+    }
+
+    /** Lines that did not fit since the start. */
+    static long dropped() {
+        return DROPPED.get();
+    }
+
+    private static Encoder<ILoggingEvent> encoder(LoggerContext context, LogFormat format) {
+        EncoderBase<ILoggingEvent> encoder;
+        if (format == LogFormat.JSON) {
+            JsonEncoder json = new JsonEncoder();
+            json.setWithSequenceNumber(false);
+            json.setWithContext(false);
+            json.setWithNanoseconds(false);
+            json.setWithArguments(false);
+            json.setWithFormattedMessage(true);
+            json.setWithMessage(false);
+            encoder = json;
+        } else {
+            PatternLayoutEncoder text = new PatternLayoutEncoder();
+            text.setPattern(LINE);
+            encoder = text;
+        }
+        encoder.setContext(context);
+        encoder.start();
+        return encoder;
+    }
+
+    /** Counts what its full queue drops. */
+    private static final class Counting extends AsyncAppender {
+        @Override
+        protected void append(ILoggingEvent event) {
+            if (getRemainingCapacity() == 0) {
+                DROPPED.incrementAndGet();
+            } else {
+                super.append(event);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/tansypass/cli/Tansypass.java
@@ -0,0 +1,25 @@
+package tansypass.cli;
+
+import picocli.CommandLine.Command;
+import picocli.CommandLine.HelpCommand;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.ParameterException;
+import picocli.CommandLine.Spec;
+
+/** The program as a whole; does nothing by itself. */
+@Command(name = "tansypass", mixinStandardHelpOptions = true, versionProvider = Version.class,
+        description = "A load-balancing node, and what runs a fleet of it.",
+        exitCodeListHeading = "%nExit codes:%n",
+        exitCodeList = {"0:done", "1:it could not be done", "2:unusable command line or file",
+            "3:done, and the answer is no"},
+        subcommands = {NodeCommand.class, CheckCommand.class, StatusCommand.class, DrainCommand.class,
+            HelpCommand.class})
+final class Tansypass implements Runnable {
+    @Spec
+    private CommandSpec spec;
+
+    @Override
+    public void run() {
+        throw new ParameterException(spec.commandLine(), "Which command?");
+    }
+}
--- /dev/null
+++ b/config/src/main/java/tansypass/config/TomlFile.java
@@ -0,0 +1,69 @@
+package tansypass.config;
+
+import java.io.IOException;
+import java.nio.charset.MalformedInputException;
+import java.nio.file.Files;
+import java.nio.file.InvalidPathException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Function;
+
+import org.tomlj.Toml;
+import org.tomlj.TomlParseError;
+import org.tomlj.TomlParseResult;
+
+/** Reads a TOML file through a {@link Section}, and names all its faults at once. */
+public final class TomlFile {
+    /** Far more than any list of servers by hand. */
+    private static final long MOST_BYTES = 1 << 20;
+
+    private TomlFile() { }
+
+    /**
+     * Reads a file.
+     *
+     * @param environment variables {@code TANSYPASS_SECTION_KEY} take the place of values in the file
+     * @param model makes the typed model; may read on after a fault, since each has a stand-in value
+     * @throws FaultyFileException with every fault that was found
+     */
+    public static <T> T read(String file, Map<String, String> environment, Function<Section, T> model) {
+        List<Fault> faults = new ArrayList<>();
+        String text = text(file, faults);
+        TomlParseResult toml = Toml.parse(text);
+        for (TomlParseError error : toml.errors()) {
+            faults.add(new Fault(file, error.position().line(), "", error.getMessage()));
+        }
+        refuse(faults);
+        Section root = new Section(toml, file, "", 1, environment, faults);
+        T made = model.apply(root);
+        root.end();
+        refuse(faults);
+        return made;
+    }
+
+    private static void refuse(List<Fault> faults) {
+        if (!faults.isEmpty()) {
+            faults.sort(Comparator.comparingInt(Fault::line));
+            throw new FaultyFileException(faults);
+        }
+    }
+
+    private static String text(String file, List<Fault> faults) {
+        try {
+            Path path = Path.of(file);
+            if (Files.size(path) <= MOST_BYTES) {
+                return Files.readString(path);
+            }
+            faults.add(new Fault(file, 0, "", "over " + MOST_BYTES + " bytes"));
+        } catch (MalformedInputException e) {
+            faults.add(new Fault(file, 0, "", "not UTF-8"));
+        } catch (IOException | InvalidPathException e) {
+            faults.add(new Fault(file, 0, "", "can't be read: " + e));
+        }
+        refuse(faults);
+        return "";
+    }
+}
--- a/src/main/java/cedarrelay/node/Config.java
+++ b/node/src/main/java/cedarrelay/node/Config.java
@@ -21,12 +21,15 @@
 /**
  * What a node is told at its start, checked.
  *
+ * @param discovery where the list is told, or null if {@code known} is all there is
  * @param admin where operators call, or null if nowhere
  * @param sockets descriptors that the process may hold
  */
 record Config(InetSocketAddress listen, InetSocketAddress discovery, InetSocketAddress admin, long seed,
         int sockets, Settings settings, ServerList known) {
 
+    /** Said on purpose: an address that was forgotten is still an error. */
+    private static final String NO_DISCOVERY = "none";
     private static final int DEFAULT_SOCKETS = 1_024;
 
     /** Throws IllegalArgumentException with one line for the operator on what is missing or wrong. */
@@ -63,11 +66,15 @@
         ServerList known = json.has("known") ? ServerList.of(json.get("known"))
                 : new ServerList(0, true, List.of());
         return new Config(ServerList.address(text(environment, "LB_LISTEN", json, "listen")),
-                ServerList.address(text(environment, "LB_DISCOVERY", json, "discovery")),
+                discovery(text(environment, "LB_DISCOVERY", json, "discovery")),
                 admin(environment, json), seed(json), sockets(json),
                 settings, known);
     }
 
+    private static InetSocketAddress discovery(String text) {
+        return text.equals(NO_DISCOVERY) ? null : ServerList.address(text);
+    }
+
     private static InetSocketAddress admin(Map<String, String> environment, JsonObject json) {
         boolean told = !environment.getOrDefault("LB_ADMIN", "").isEmpty() || json.has("admin");
         return told ? ServerList.address(text(environment, "LB_ADMIN", json, "admin")) : null;
--- a/src/main/java/cedarrelay/node/Discovery.java
+++ b/node/src/main/java/cedarrelay/node/Discovery.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.Objects;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.bootstrap.Bootstrap;
@@ -53,6 +54,7 @@
     private long revision;
     private Watch watch;
 
+    /** An address of null means that nothing is told: the list stays as it is. */
     Discovery(EventLoop loop, InetSocketAddress address, long revision, long silentMs, Listener listener) {
         this.loop = loop;
         this.address = address;
@@ -65,16 +67,20 @@
     void subscribe() {
         if (watch != null) {
             watch.close();
+            watch = null;
+        }
+        if (address != null) {
+            watch = new Watch();
+            watch.open();
         }
-        watch = new Watch();
-        watch.open();
     }
 
-    /** From now on the list is told at this address; a watch that is open goes on there. */
+    /** From now on the list is told at this address, or nowhere; a watch that is open goes on there. */
     void move(InetSocketAddress to) {
-        if (!to.equals(address)) {
+        if (!Objects.equals(to, address)) {
+            boolean watching = watch != null || address == null;
             address = to;
-            if (watch != null) {
+            if (watching) {
                 subscribe();
             }
         }
--- a/src/main/java/cedarrelay/node/Main.java
+++ b/node/src/main/java/cedarrelay/node/Main.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
@@ -46,19 +47,74 @@
             rehearse();
             return;
         }
+        serve(new Environment());
+    }
+
+    /**
+     * Serves until SIGTERM with a configuration from elsewhere.
+     *
+     * @param json gives it in the platform's form, at the start and again at each SIGHUP; throws
+     *     IllegalArgumentException with one line if there is none to be had
+     */
+    public static void serve(Supplier<String> json) {
+        serve(new Source() {
+            @Override
+            public Config read() {
+                return Config.parse(json.get(), Map.of());
+            }
+
+            @Override
+            public Config reread() {
+                return read();
+            }
+        });
+    }
+
+    /** Throws IllegalArgumentException with one line if a node could not start with this. */
+    public static void check(String json) {
+        EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        try {
+            new Node(Config.parse(json, Map.of()), group.next()).close();
+        } finally {
+            group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** Where the configuration comes from. */
+    private interface Source {
+        Config read();
+
+        /** Once it has been replaced. */
+        Config reread();
+    }
+
+    /** The platform's variables. */
+    private static final class Environment implements Source {
+        @Override
+        public Config read() {
+            return Config.read(System.getenv());
+        }
+
+        @Override
+        public Config reread() {
+            return Config.reread(System.getenv());
+        }
+    }
+
+    private static void serve(Source source) {
         EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         EventLoop loop = group.next();
         Config config;
         Node node;
         try {
-            config = Config.read(System.getenv());
+            config = source.read();
             node = new Node(config, loop);
         } catch (IllegalArgumentException e) {
             exit("bad configuration: " + e.getMessage(), BAD_CONFIG);
             return;
         }
         Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(node, loop), "stop"));
-        onHangUp(() -> reload(node, loop));
+        onHangUp(() -> reload(source, node, loop));
         if (config.admin() != null) {
             EventLoopGroup callers = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
             new AdminServer(node.figures(), node.lifecycle(), CALL_WITHIN_MS).listen(callers, config.admin())
@@ -115,9 +171,9 @@
     }
 
     /** A configuration that can't be used must not cost the one in use. */
-    private static void reload(Node node, EventLoop loop) {
+    private static void reload(Source source, Node node, EventLoop loop) {
         try {
-            Config changed = Config.reread(System.getenv());
+            Config changed = source.reread();
             loop.execute(() -> node.reload(changed));
         } catch (IllegalArgumentException e) {
             say("configuration not taken, the old one stays: " + e.getMessage());
