Play scenarios in virtual time: stand-ins as state machines, a judge of seven rules

Change: fleet/ has the seams (a scheduler with its clock, random numbers by seed and use); rig/ has scenarios as TOML, a web server, list of servers, arrivals, front and link as state machines, the judge, and a virtual world in which the product's own decision module plays. Reports as text and JSON, times from when a request was meant to be sent. Not taken: a home-made discrete-event kernel with processes and resources (an event queue is all that the machines ask for), and a model of the decisions (the module itself runs).

--- /dev/null
+++ b/cli/src/main/java/tansypass/cli/RigCommand.java
@@ -0,0 +1,71 @@
+package tansypass.cli;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.ParameterException;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+import tansypass.config.FaultyFileException;
+import tansypass.rig.report.Report;
+import tansypass.rig.scenario.Scenario;
+import tansypass.rig.scenario.ScenarioFile;
+import tansypass.rig.virtual.VirtualRun;
+
+/** Worlds with faults, on real processes or in virtual time. */
+@Command(name = "rig", mixinStandardHelpOptions = true, subcommands = RigCommand.Run.class,
+        description = "Play worlds of nodes, servers, load and faults, and judge them.")
+final class RigCommand implements Runnable {
+    @Spec
+    private CommandSpec spec;
+
+    @Override
+    public void run() {
+        throw new ParameterException(spec.commandLine(), "Which command of the rig?");
+    }
+
+    /** Plays one scenario. */
+    @Command(name = "run", mixinStandardHelpOptions = true,
+            description = "Play a scenario and judge it. Exit code 3: a rule was broken.")
+    static final class Run implements Callable<Integer> {
+        @Parameters(paramLabel = "FILE", description = "the scenario, TOML")
+        private String file;
+        @Option(names = "--seed", defaultValue = "1", description = "of all that is drawn; default 1")
+        private long seed;
+        @Option(names = "--json", paramLabel = "OUT", description = "where the figures go as JSON")
+        private Path json;
+        @Option(names = "--virtual", description = "in virtual time: the same seed gives the same trace")
+        private boolean virtual;
+        @Spec
+        private CommandSpec spec;
+
+        @Override
+        public Integer call() throws IOException {
+            Scenario scenario;
+            try {
+                scenario = ScenarioFile.read(file);
+            } catch (FaultyFileException e) {
+                spec.commandLine().getErr().println(e.getMessage());
+                return Exit.UNUSABLE;
+            }
+            PrintWriter out = spec.commandLine().getOut();
+            String command = "./tansypass rig run " + file + " --seed " + seed + (virtual ? " --virtual"
+                    : "");
+            long startNs = System.nanoTime();
+            Report report = Report.of(scenario, seed, command, VirtualRun.play(scenario, seed));
+            out.print(report.text());
+            out.printf("took %.2f s%n", (System.nanoTime() - startNs) / 1e9);
+            out.flush();
+            if (json != null) {
+                Files.writeString(json, report.json());
+            }
+            return report.isSound() ? Exit.OK : Exit.NO;
+        }
+    }
+}
--- /dev/null
+++ b/rig/src/main/java/tansypass/rig/judge/Rule.java
@@ -0,0 +1,19 @@
+package tansypass.rig.judge;
+
+/** What has to hold on every event; the words of the platform's pages in short. */
+public enum Rule {
+    /** One final answer, in time, for everything taken. */
+    ANSWERED,
+    /** No second copy beyond what the class allows. */
+    REPEATED,
+    /** Nothing new to a server that the node has been told is draining or gone. */
+    DRAINING,
+    /** Only what a server made for that request is served. */
+    INVENTED_ANSWER,
+    /** No request that no client sent. */
+    INVENTED_REQUEST,
+    /** No process ends that was not told to. */
+    DIED,
+    /** Nothing is held when all is over. */
+    LEAKED
+}
--- /dev/null
+++ b/rig/src/main/java/tansypass/rig/scenario/Scenario.java
@@ -0,0 +1,123 @@
+package tansypass.rig.scenario;
+
+import java.util.List;
+
+import tansypass.config.NodeFile.Group;
+import tansypass.config.NodeFile.Repeat;
+
+/**
+ * What is played: a world, its load and its faults. Lengths of time are microseconds.
+ *
+ * @param lengthUs for how long requests come
+ * @param settleUs what is waited then, so that all is answered; past it, what is open counts as never
+ *     answered
+ */
+public record Scenario(String name, long lengthUs, long settleUs, Nodes nodes, Servers servers,
+        Clients clients,
+        Net net, List<RequestClass> classes, List<Fault> faults) {
+
+    /** The nodes; zones are taken in turn. */
+    public record Nodes(int count, List<String> zones, int attempts, boolean secondCopies, boolean cancel,
+            long retryAfterUs, long connectTimeoutUs, long drainGraceUs, String logLevel) { }
+
+    /**
+     * The web servers, all alike; zones are taken in turn.
+     *
+     * @param queue requests that may wait
+     * @param coldFrom the share of its speed with which one starts, which grows evenly to 1 over {@code
+     *     coldUs}
+     * @param handshakeUs work that a new connection costs
+     * @param connections that it holds at most
+     * @param idleUs it closes a connection that has been idle for so long
+     * @param reports whether answers carry a load report
+     */
+    public record Servers(int count, int cores, int queue, double coldFrom, long coldUs, long handshakeUs,
+            int connections, long idleUs, int cell, boolean reports) { }
+
+    /**
+     * The clients, open loop: they come whatever becomes of those before them.
+     *
+     * @param rate requests a second
+     * @param noticeUs until the front knows that a node takes nobody any more
+     * @param most requests open at once; past that the world does not bear the load
+     */
+    public record Clients(double rate, long noticeUs, int most) { }
+
+    /** Delays of one way between two processes of one zone, and of two. */
+    public record Net(long sameUs, long crossUs) { }
+
+    /**
+     * A class of requests.
+     *
+     * @param share of the requests, to be compared with other classes'
+     * @param workUs mean work on one core of a server; drawn exponentially
+     */
+    public record RequestClass(String name, double share, Repeat repeat, Group group, long windowUs,
+            long workUs,
+            long aimUs, long deadlineUs) { }
+
+    /** What a fault does. */
+    public enum Kind {
+        /** SIGKILL; the process starts again when the fault ends. */
+        KILL,
+        /** SIGTERM; the process starts again when the fault ends. */
+        TERM,
+        /** SIGSTOP, and SIGCONT when the fault ends. */
+        PAUSE,
+        /** A server leaves as planned: the list says so, and it turns new requests away. */
+        DRAIN,
+        /** A server does {@code amount} of its work. */
+        CHOKE,
+        /** A server answers nothing. */
+        HANG,
+        /** A server answers this share of requests with an error. */
+        ERRORS,
+        /** Discovery says nothing. */
+        SILENCE,
+        /** A link passes nothing on and says nothing. */
+        CUT,
+        /** A link takes longer, by {@code time}. */
+        DELAY,
+        /** A link takes longer, by up to {@code time}, drawn anew for each piece. */
+        JITTER,
+        /** A link passes so many bytes a second. */
+        RATE,
+        /** A link resets its connections, and new ones at once. */
+        RESET;
+
+        /** Whether it is on a link and not on a process. */
+        public boolean isLink() {
+            return compareTo(CUT) >= 0;
+        }
+    }
+
+    /** Which ways of a link a fault is on: from the first one named to the second, back, or both. */
+    public enum Way { BOTH, THERE, BACK }
+
+    /**
+     * One fault.
+     *
+     * @param target the process, or the two ends of the link, each a name, or a group such as {@code node-*}
+     */
+    public record Fault(Kind kind, long atUs, long lastsUs, List<String> target, Way way, double amount,
+            long timeUs) {
+
+        /** For people: what, on whom, when. */
+        @Override
+        public String toString() {
+            return kind.name().toLowerCase(java.util.Locale.ROOT) + " " + String.join("><", target) + " at "
+                    + atUs / 1_000 + " ms for " + lastsUs / 1_000 + " ms";
+        }
+    }
+
+    /** The zone of a node or server by its number. */
+    public String zone(int number) {
+        return nodes.zones.get(number % nodes.zones.size());
+    }
+
+    /** The same world with other faults. */
+    public Scenario with(List<Fault> others) {
+        return new Scenario(name, lengthUs, settleUs, nodes, servers, clients, net, classes,
+                List.copyOf(others));
+    }
+}
--- /dev/null
+++ b/rig/src/main/java/tansypass/rig/virtual/VirtualRun.java
@@ -0,0 +1,525 @@
+package tansypass.rig.virtual;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HexFormat;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import cedarrelay.Balancer;
+import cedarrelay.Balancer.Result;
+import cedarrelay.Balancer.ServerEntry;
+import cedarrelay.Balancer.ServerState;
+import cedarrelay.Balancer.Settings;
+import org.apache.commons.rng.UniformRandomProvider;
+import tansypass.fleet.env.Randoms;
+import tansypass.rig.judge.Judge;
+import tansypass.rig.model.Arrivals;
+import tansypass.rig.model.FaultPlan;
+import tansypass.rig.model.Front;
+import tansypass.rig.model.LinkState;
+import tansypass.rig.model.LinkState.Direction;
+import tansypass.rig.model.ServerBook;
+import tansypass.rig.model.ServerBook.State;
+import tansypass.rig.model.WebServer;
+import tansypass.rig.scenario.Scenario;
+import tansypass.rig.scenario.Scenario.Fault;
+import tansypass.rig.scenario.Scenario.Kind;
+import tansypass.rig.scenario.Scenario.RequestClass;
+
+/** Plays a scenario in virtual time: one thread, one seed, the same trace each time. */
+public final class VirtualRun implements FaultPlan.World {
+    /** What a start takes; real ones are measured by the real run. */
+    private static final long START_US = 1_500_000;
+    /** A request or answer on the wire, for links with a limited rate. */
+    private static final int MESSAGE_BYTES = 300;
+    /** SIGKILL follows SIGTERM so much after the longest deadline. */
+    private static final long TERM_GRACE_US = 700_000;
+
+    private final Scenario scenario;
+    private final long seed;
+    private final EventQueue queue = new EventQueue();
+    private final Judge judge;
+    private final List<Server> servers = new ArrayList<>();
+    private final List<NodePlace> nodes = new ArrayList<>();
+    private final ServerBook book = new ServerBook();
+    private final Front front;
+    private final Map<String, Client> clients = new LinkedHashMap<>();
+
+    /** One web server and whether it is up. */
+    private final class Server {
+        private final int number;
+        private final WebServer model;
+        private boolean up = true;
+        private final Set<Runnable> connections = new LinkedHashSet<>();
+
+        Server(int number) {
+            this.number = number;
+            model = new WebServer("server-" + number, scenario.servers(), queue,
+                    Randoms.of(seed, "server-" + number));
+        }
+    }
+
+    /** A request of a client that waits for its answer. */
+    private record Client(String id, int node, int life, long deadlineUs) {
+        long number() {
+            return HexFormat.fromHexDigitsToLong(id);
+        }
+    }
+
+    /** A node's name and address, which outlive its process. */
+    private final class NodePlace implements VirtualNode.Network {
+        private final int number;
+        private final LinkState fromClients;
+        private final List<LinkState> links = new ArrayList<>();
+        private final List<Runnable> waiting = new ArrayList<>();
+        private VirtualNode node;
+        private int life;
+        private boolean paused;
+        private boolean leaving;
+        private long pausedUs;
+
+        NodePlace(int number) {
+            this.number = number;
+            String name = "node-" + number;
+            fromClients = new LinkState(scenario.net().sameUs(), Randoms.of(seed, "clients>" + name));
+            for (int s = 0; s < scenario.servers().count(); s++) {
+                long delayUs = scenario.zone(s).equals(scenario.zone(number)) ? scenario.net().sameUs()
+                        : scenario.net().crossUs();
+                links.add(new LinkState(delayUs, Randoms.of(seed, name + ">server-" + s)));
+            }
+        }
+
+        void start() {
+            life++;
+            leaving = false;
+            judge.started(queue.nowUs(), number);
+            node = new VirtualNode(queue, this, settings(number),
+                    Randoms.seedOf(seed, "node-" + number + "#" + life), entries(book.whole().entries()));
+            front.ready(number);
+        }
+
+        /** Something reaches the node's process: at once, or when it goes on. */
+        void reach(int inLife, Runnable event) {
+            if (inLife != life || node == null) {
+                return;
+            }
+            if (paused) {
+                waiting.add(() -> reach(inLife, event));
+            } else {
+                event.run();
+            }
+        }
+
+        void pause(boolean on) {
+            paused = on;
+            if (on) {
+                pausedUs = queue.nowUs();
+                return;
+            }
+            judge.paused(pausedUs, number, queue.nowUs());
+            List<Runnable> missed = new ArrayList<>(waiting);
+            waiting.clear();
+            missed.forEach(Runnable::run);
+        }
+
+        void kill() {
+            if (node != null) {
+                node.die();
+                node = null;
+                front.died(number);
+                int ended = life++;
+                new ArrayList<>(clients.values()).stream().filter(c -> c.node == number && c.life == ended)
+                        .forEach(c -> {
+                            clients.remove(c.id);
+                            judge.broken(queue.nowUs(), c.id, true, false);
+                        });
+            }
+        }
+
+        void term() {
+            if (node != null) {
+                leaving = true;
+                front.away(number);
+                int ending = life;
+                queue.after(longestUs() + TERM_GRACE_US, () -> {
+                    if (life == ending && leaving) {
+                        kill();
+                    }
+                });
+            }
+        }
+
+        @Override
+        public void connect(String name, VirtualNode.Reply reply) {
+            Server server = server(name);
+            LinkState link = links.get(server.number);
+            int inLife = life;
+            if (link.isDeaf()) {
+                return;
+            }
+            long thereUs = link.dueUs(Direction.THERE, queue.nowUs(), 0);
+            queue.after(thereUs - queue.nowUs(), () -> {
+                Result result = server.up && !link.isReset() && server.model.connect() ? Result.OK
+                        : Result.CONNECT_FAILED;
+                long backUs = link.dueUs(Direction.BACK, queue.nowUs(), 0);
+                queue.after(backUs - queue.nowUs(),
+                        () -> reach(inLife, () -> reply.done(result, 0, null)));
+            });
+        }
+
+        @Override
+        public VirtualNode.Flight send(String name, long request, boolean fresh, VirtualNode.Reply reply) {
+            Flying flying = new Flying(this, server(name), request, fresh, reply);
+            flying.start();
+            return flying;
+        }
+
+        @Override
+        public void hangUp(String server) {
+            server(server).model.disconnect();
+        }
+
+        @Override
+        public void answer(long request, int status, String body) {
+            if (fromClients.isCut(Direction.BACK)) {
+                return;
+            }
+            long dueUs = fromClients.dueUs(Direction.BACK, queue.nowUs(), MESSAGE_BYTES);
+            queue.after(dueUs - queue.nowUs(), () -> {
+                String id = HexFormat.of().toHexDigits(request);
+                if (clients.remove(id) != null) {
+                    judge.answered(queue.nowUs(), id, status, body);
+                }
+            });
+        }
+
+        @Override
+        public void log(String line) {
+            // The real run shows the node's own log.
+        }
+    }
+
+    /** An attempt on its way to a server and back. */
+    private final class Flying implements VirtualNode.Flight {
+        private final NodePlace from;
+        private final Server server;
+        private final LinkState link;
+        private final String id;
+        private final boolean fresh;
+        private final VirtualNode.Reply reply;
+        private final int life;
+        private final Runnable onReset = this::reset;
+        private WebServer.Work work;
+        private int attempt = -1;
+        private boolean arrived;
+        private boolean over;
+
+        Flying(NodePlace from, Server server, long request, boolean fresh, VirtualNode.Reply reply) {
+            this.from = from;
+            this.server = server;
+            this.fresh = fresh;
+            this.reply = reply;
+            link = from.links.get(server.number);
+            id = HexFormat.of().toHexDigits(request);
+            life = from.life;
+        }
+
+        void start() {
+            server.connections.add(onReset);
+            if (link.isReset() || !server.up) {
+                queue.after(0, onReset);
+            } else if (!link.isCut(Direction.THERE)) {
+                long dueUs = link.dueUs(Direction.THERE, queue.nowUs(), MESSAGE_BYTES);
+                queue.after(dueUs - queue.nowUs(), this::arrive);
+            }
+        }
+
+        private void arrive() {
+            if (over || !server.up) {
+                return;
+            }
+            arrived = true;
+            attempt = judge.attempt(queue.nowUs(), id, server.number);
+            RequestClass cls = classOf(id);
+            work = server.model.begin(cls, id, fresh, (status, body, report, turnedAway) -> {
+                if (over) {
+                    return;
+                }
+                if (status == 200) {
+                    judge.made(queue.nowUs(), id, server.number, body);
+                }
+                leave(turnedAway);
+                if (!link.isCut(Direction.BACK)) {
+                    long dueUs = link.dueUs(Direction.BACK, queue.nowUs(), MESSAGE_BYTES);
+                    queue.after(dueUs - queue.nowUs(),
+                            () -> from.reach(life, () -> reply.done(Result.OK, status, body)));
+                }
+            });
+        }
+
+        private void leave(boolean neverRan) {
+            over = true;
+            server.connections.remove(onReset);
+            if (arrived) {
+                judge.attemptEnded(queue.nowUs(), id, attempt, neverRan);
+            }
+        }
+
+        private void reset() {
+            if (!over) {
+                if (server.up) {
+                    server.model.disconnect();
+                }
+                leave(false);
+                from.reach(life, () -> reply.done(Result.RESET, 0, null));
+            }
+        }
+
+        @Override
+        public void close() {
+            if (over) {
+                return;
+            }
+            server.model.disconnect();
+            // The server hears of it on the way there; what is on its way before that may still come.
+            long dueUs = link.dueUs(Direction.THERE, queue.nowUs(), 0);
+            queue.after(dueUs - queue.nowUs(), () -> {
+                if (!over) {
+                    if (work != null) {
+                        work.cancel();
+                    }
+                    leave(false);
+                }
+            });
+        }
+    }
+
+    private VirtualRun(Scenario scenario, long seed) {
+        this.scenario = scenario;
+        this.seed = seed;
+        judge = new Judge(scenario);
+        front = new Front(queue, scenario.nodes().count(), scenario.clients().noticeUs());
+        for (int s = 0; s < scenario.servers().count(); s++) {
+            servers.add(new Server(s));
+            book.put("server-" + s, s, State.READY, 0);
+        }
+        for (int n = 0; n < scenario.nodes().count(); n++) {
+            nodes.add(new NodePlace(n));
+        }
+    }
+
+    /** Plays it; the judge knows all there is to know. */
+    public static Judge play(Scenario scenario, long seed) {
+        VirtualRun run = new VirtualRun(scenario, seed);
+        run.play();
+        return run.judge;
+    }
+
+    private void play() {
+        nodes.forEach(NodePlace::start);
+        nodes.forEach(place -> book.watch(news -> tell(place, news)));
+        new FaultPlan(scenario, this).start(queue);
+        UniformRandomProvider random = Randoms.of(seed, "load");
+        Arrivals arrivals = new Arrivals(scenario.clients().rate(), scenario.classes(), 0, random);
+        arrive(arrivals, arrivals.nextUs());
+        queue.runUntil(scenario.lengthUs() + scenario.settleUs());
+        for (NodePlace place : nodes) {
+            if (place.node != null && place.node.inFlight() > 0) {
+                judge.leaked(queue.nowUs(), "node-" + place.number + " still holds " + place.node.inFlight()
+                        + " requests");
+            }
+        }
+        judge.finish(queue.nowUs());
+    }
+
+    private void arrive(Arrivals arrivals, long atUs) {
+        if (atUs >= scenario.lengthUs()) {
+            return;
+        }
+        queue.after(atUs - queue.nowUs(), () -> {
+            send(arrivals.nextClass(), arrivals.nextId(), atUs);
+            arrive(arrivals, arrivals.nextUs());
+        });
+    }
+
+    private void send(RequestClass cls, long request, long meantUs) {
+        int number = front.pick();
+        if (number < 0 || clients.size() >= scenario.clients().most()) {
+            judge.notSent(queue.nowUs(), meantUs);
+            return;
+        }
+        NodePlace place = nodes.get(number);
+        String id = HexFormat.of().toHexDigits(request);
+        long deadlineUs = queue.nowUs() + cls.deadlineUs();
+        judge.sent(queue.nowUs(), id, cls, number, meantUs, deadlineUs);
+        if (place.node == null || place.fromClients.isReset()) {
+            judge.refusedConnection(queue.nowUs(), id);
+            return;
+        }
+        Client client = new Client(id, number, place.life, deadlineUs);
+        clients.put(id, client);
+        classes.put(id, cls);
+        LinkState link = place.fromClients;
+        boolean cut = link.isDeaf();
+        queue.after(Judge.patienceUs(deadlineUs) - queue.nowUs(), () -> {
+            classes.remove(id);
+            if (clients.remove(id, client)) {
+                judge.gaveUp(queue.nowUs(), id, cut || link.isDeaf() || wasCut(place, client));
+            }
+        });
+        if (!link.isCut(Direction.THERE)) {
+            long dueUs = link.dueUs(Direction.THERE, queue.nowUs(), MESSAGE_BYTES);
+            queue.after(dueUs - queue.nowUs(), () -> place.reach(client.life, () -> place.node.take(request,
+                    scenario.classes().indexOf(cls), Math.max(0, deadlineUs - queue.nowUs()))));
+        }
+    }
+
+    private final Map<String, RequestClass> classes = new HashMap<>();
+    private final Map<Integer, Long> lastCutUs = new HashMap<>();
+
+    private boolean wasCut(NodePlace place, Client client) {
+        return lastCutUs.getOrDefault(place.number, -1L) >= client.deadlineUs - longestUs();
+    }
+
+    private RequestClass classOf(String id) {
+        return classes.getOrDefault(id, scenario.classes().get(0));
+    }
+
+    private long longestUs() {
+        return scenario.classes().stream().mapToLong(RequestClass::deadlineUs).max().orElse(0);
+    }
+
+    private Server server(String name) {
+        return servers.get(Integer.parseInt(name.substring(name.indexOf('-') + 1)));
+    }
+
+    private void tell(NodePlace place, ServerBook.News news) {
+        int inLife = place.life;
+        for (ServerBook.Entry entry : news.entries()) {
+            judge.told(queue.nowUs(), place.number, entry.number(), entry.state() != State.READY);
+        }
+        place.reach(inLife, () -> place.node.told(entries(news.entries())));
+    }
+
+    private List<ServerEntry> entries(List<ServerBook.Entry> of) {
+        return of.stream().map(e -> new ServerEntry(e.name(),
+                scenario.nodes().zones().indexOf(scenario.zone(e.number())),
+                e.number() / scenario.servers().cell(), switch (e.state()) {
+                    case READY -> ServerState.READY;
+                    case TERMINATING -> ServerState.DRAINING;
+                    case GONE -> ServerState.GONE;
+                }, 1, e.bootMs() * 1_000)).toList();
+    }
+
+    private Settings settings(int node) {
+        Settings set = new Settings();
+        set.nodes = scenario.nodes().count();
+        set.zones = new ArrayList<>(scenario.nodes().zones());
+        set.myZone = set.zones.indexOf(scenario.zone(node));
+        set.maxAttempts = scenario.nodes().attempts();
+        set.secondCopies = scenario.nodes().secondCopies();
+        set.cancel = scenario.nodes().cancel();
+        set.maxRetryAfterUs = scenario.nodes().retryAfterUs();
+        set.connectTimeoutUs = scenario.nodes().connectTimeoutUs();
+        set.connIdleUs = scenario.servers().idleUs();
+        set.drainGraceUs = scenario.nodes().drainGraceUs();
+        set.coldFrom = scenario.servers().coldFrom();
+        set.coldUs = scenario.servers().coldUs();
+        for (RequestClass cls : scenario.classes()) {
+            set.classes.add(new Balancer.RequestClass(cls.name(), cls.aimUs(), 0, cls.deadlineUs(), 1, 0,
+                    Balancer.Repeat.valueOf(cls.repeat().name()), Balancer.Group.valueOf(cls.group().name()),
+                    cls.windowUs(), false));
+        }
+        return set;
+    }
+
+    // ---------------------------------------------------------------- faults
+
+    @Override
+    public void node(int number, Fault fault, boolean begins) {
+        NodePlace place = nodes.get(number);
+        if (fault.kind() == Kind.PAUSE) {
+            place.pause(begins);
+        } else if (!begins) {
+            place.kill();
+            queue.after(START_US, place::start);
+        } else if (fault.kind() == Kind.KILL) {
+            place.kill();
+        } else {
+            place.term();
+        }
+    }
+
+    @Override
+    public void server(int number, Fault fault, boolean begins) {
+        Server server = servers.get(number);
+        switch (fault.kind()) {
+            case KILL -> up(server, !begins);
+            case DRAIN -> {
+                server.model.drain(begins);
+                book.state(server.model.name(), begins ? State.TERMINATING : State.READY);
+                judge.listed(queue.nowUs(), number, begins);
+            }
+            case CHOKE -> server.model.choke(begins ? fault.amount() : 1);
+            case HANG -> server.model.hang(begins);
+            default -> server.model.errors(begins ? fault.amount() : 0);
+        }
+    }
+
+    private void up(Server server, boolean up) {
+        server.up = up;
+        if (up) {
+            server.model.boot();
+            book.put(server.model.name(), server.number, State.READY, queue.nowUs() / 1_000);
+        } else {
+            server.model.die();
+            new ArrayList<>(server.connections).forEach(Runnable::run);
+            nodes.stream().filter(place -> place.node != null)
+                    .forEach(place -> place.node.serverReset(server.model.name()));
+        }
+    }
+
+    @Override
+    public void discovery(boolean silent) {
+        book.silence(silent);
+    }
+
+    @Override
+    public void link(int node, int server, Fault fault, boolean begins) {
+        put(nodes.get(node).links.get(server), fault, begins);
+        if (fault.kind() == Kind.RESET && begins) {
+            new ArrayList<>(servers.get(server).connections).forEach(Runnable::run);
+            if (nodes.get(node).node != null) {
+                nodes.get(node).node.serverReset("server-" + server);
+            }
+        }
+    }
+
+    @Override
+    public void clientLink(int node, Fault fault, boolean begins) {
+        NodePlace place = nodes.get(node);
+        put(place.fromClients, fault, begins);
+        lastCutUs.put(node, queue.nowUs());
+        if (fault.kind() == Kind.RESET && begins) {
+            for (Client client : List.copyOf(clients.values())) {
+                if (client.node == node) {
+                    clients.remove(client.id);
+                    judge.broken(queue.nowUs(), client.id, true, false);
+                    place.reach(client.life, () -> place.node.clientGone(client.number()));
+                }
+            }
+        }
+    }
+
+    private static void put(LinkState link, Fault fault, boolean begins) {
+        if (begins) {
+            link.begin(fault);
+        } else {
+            link.end(fault);
+        }
+    }
+}
--- /dev/null
+++ b/rig/src/test/java/tansypass/rig/Worlds.java
@@ -0,0 +1,59 @@
+package tansypass.rig;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+import tansypass.rig.scenario.Scenario;
+import tansypass.rig.scenario.ScenarioFile;
+
+/** Scenarios for tests. */
+public final class Worlds {
+    /** Two nodes and four servers in two zones, a class of each kind of repeat, and no fault. */
+    public static final String SMALL = """
+            name = "small"
+            length = "4s"
+            settle = "3s"
+            [nodes]
+            count = 2
+            zones = ["a", "b"]
+            [servers]
+            count = 4
+            cell = 2
+            [clients]
+            rate = 100.0
+            [[classes]]
+            name = "search"
+            repeat = "safe"
+            [[classes]]
+            name = "book"
+            repeat = "keyed"
+            group = "cell"
+            [[classes]]
+            name = "pay"
+            """;
+
+    private Worlds() { }
+
+    /** Reads one from text. */
+    public static Scenario of(String text) {
+        try {
+            Path file = Files.createTempFile("scenario", ".toml");
+            try {
+                return ScenarioFile.read(Files.writeString(file, text).toString());
+            } finally {
+                Files.delete(file);
+            }
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** One more fault for the end of a text. */
+    public static String fault(String kind, String on, String at, String lasts, String more) {
+        return "[[faults]]\nkind = \"" + kind + "\"\non = [" + on + "]\nat = \"" + at + "\"\nlasts = \""
+                + lasts
+                + "\"\n" + more + "\n";
+    }
+}
--- /dev/null
+++ b/rig/src/test/java/tansypass/rig/model/LinkStateTest.java
@@ -0,0 +1,54 @@
+package tansypass.rig.model;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+import tansypass.fleet.env.Randoms;
+import tansypass.rig.model.LinkState.Direction;
+import tansypass.rig.scenario.Scenario.Fault;
+import tansypass.rig.scenario.Scenario.Kind;
+import tansypass.rig.scenario.Scenario.Way;
+
+class LinkStateTest {
+    private final LinkState link = new LinkState(100, Randoms.of(1, "link"));
+
+    private static Fault fault(Kind kind, Way way, double amount, long timeUs) {
+        return new Fault(kind, 0, 0, List.of("node-0", "server-0"), way, amount, timeUs);
+    }
+
+    @Test
+    void aFaultThatEndsLeavesAnotherOnThatBeganMeanwhile() {
+        Fault first = fault(Kind.CUT, Way.BOTH, 0, 0);
+        Fault second = fault(Kind.CUT, Way.BACK, 1, 0);
+        link.begin(first);
+        link.begin(second);
+        link.end(first);
+        assertFalse(link.isCut(Direction.THERE));
+        assertTrue(link.isCut(Direction.BACK));
+        assertTrue(link.isDeaf());
+        link.end(second);
+        assertFalse(link.isDeaf());
+    }
+
+    @Test
+    void delaysAddUpAndNothingOvertakes() {
+        Fault slow = fault(Kind.DELAY, Way.THERE, 0, 1_000);
+        link.begin(slow);
+        assertEquals(1_100, link.dueUs(Direction.THERE, 0, 10));
+        assertEquals(100, link.dueUs(Direction.BACK, 0, 10));
+        link.end(slow);
+        assertEquals(1_100, link.dueUs(Direction.THERE, 50, 10));
+        assertEquals(1_300, link.dueUs(Direction.THERE, 1_200, 10));
+    }
+
+    @Test
+    void aLimitOfBytesMakesPiecesWaitForOneAnother() {
+        link.begin(fault(Kind.RATE, Way.BOTH, 1_000, 0));
+        assertEquals(100 + 500_000, link.dueUs(Direction.THERE, 0, 500));
+        assertEquals(100 + 1_000_000, link.dueUs(Direction.THERE, 0, 500));
+    }
+}
