Play scenarios on real processes: ./tansypass rig run with links, kills and a judge

Change: the rig's shells around its machines: web servers, an agent of discovery for each node, open-loop clients, a link that holds, delays, limits, cuts or resets streams, node processes with SIGKILL, SIGTERM, SIGSTOP and CONT, and a reaper that ends them with the rig. Each play has a loopback network of its own. A cut link leaves handshakes without an answer, by a listener whose queue is full (seen first: bind refused, since the selector gives a closed socket up only in its next turn; tried again until then). Seen and mended on the way: resetting one end of a link closed the other in order first (both get their linger before either is closed).

A rig killed by SIGKILL while one node is stopped leaves no process (test).

--- a/cli/src/main/java/tansypass/cli/NodeCommand.java
+++ b/cli/src/main/java/tansypass/cli/NodeCommand.java
@@ -1,9 +1,11 @@
 package tansypass.cli;
 
+import java.io.IOException;
 import java.util.concurrent.Callable;
 
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
 import picocli.CommandLine.Spec;
 import tansypass.config.FaultyFileException;
@@ -15,6 +17,8 @@
 final class NodeCommand implements Callable<Integer> {
     @Parameters(paramLabel = "FILE", description = "the node's TOML file")
     private String file;
+    @Option(names = "--with-parent", hidden = true, description = "end at once when standard input closes")
+    private boolean withParent;
     @Spec
     private CommandSpec spec;
 
@@ -28,8 +32,27 @@
             return Exit.UNUSABLE;
         }
         Logs.set(first.log());
+        if (withParent) {
+            endWithParent();
+        }
         Reload reload = new Reload(file, System.getenv(), first);
         cedarrelay.node.Main.serve(() -> PlatformJson.of(reload.next()));
         return Exit.GOES_ON;
     }
+
+    /** Nobody is left who knows of this process: no orderly stop, as after SIGKILL. */
+    private static void endWithParent() {
+        Thread watch = new Thread(() -> {
+            try {
+                while (System.in.read() >= 0) {
+                    // Nothing is ever sent.
+                }
+            } catch (IOException e) {
+                // As good as closed.
+            }
+            Runtime.getRuntime().halt(Exit.FAILED);
+        }, "parent");
+        watch.setDaemon(true);
+        watch.start();
+    }
 }
--- a/cli/src/main/java/tansypass/cli/RigCommand.java
+++ b/cli/src/main/java/tansypass/cli/RigCommand.java
@@ -5,6 +5,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
+import java.util.stream.Stream;
 
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
@@ -13,6 +14,8 @@
 import picocli.CommandLine.Parameters;
 import picocli.CommandLine.Spec;
 import tansypass.config.FaultyFileException;
+import tansypass.rig.judge.Judge;
+import tansypass.rig.real.RealRun;
 import tansypass.rig.report.Report;
 import tansypass.rig.scenario.Scenario;
 import tansypass.rig.scenario.ScenarioFile;
@@ -42,11 +45,14 @@
         private Path json;
         @Option(names = "--virtual", description = "in virtual time: the same seed gives the same trace")
         private boolean virtual;
+        @Option(names = "--keep", paramLabel = "DIR",
+                description = "keep the nodes' files and logs here; else only where a rule was broken")
+        private Path keep;
         @Spec
         private CommandSpec spec;
 
         @Override
-        public Integer call() throws IOException {
+        public Integer call() throws IOException, InterruptedException {
             Scenario scenario;
             try {
                 scenario = ScenarioFile.read(file);
@@ -58,7 +64,8 @@
             String command = "./tansypass rig run " + file + " --seed " + seed + (virtual ? " --virtual"
                     : "");
             long startNs = System.nanoTime();
-            Report report = Report.of(scenario, seed, command, VirtualRun.play(scenario, seed));
+            Report report = Report.of(scenario, seed, command, virtual ? VirtualRun.play(scenario, seed)
+                    : playReal(scenario, out));
             out.print(report.text());
             out.printf("took %.2f s%n", (System.nanoTime() - startNs) / 1e9);
             out.flush();
@@ -67,5 +74,30 @@
             }
             return report.isSound() ? Exit.OK : Exit.NO;
         }
+
+        private Judge playReal(Scenario scenario, PrintWriter out) throws IOException, InterruptedException {
+            Path folder = keep == null ? Files.createTempDirectory("tansypass-rig")
+                    : Files.createDirectories(keep);
+            Judge judge = null;
+            try {
+                judge = RealRun.play(scenario, seed, Self.command("node", "--with-parent"), folder);
+                return judge;
+            } finally {
+                if (keep == null && judge != null && judge.broken() == 0) {
+                    delete(folder);
+                } else {
+                    out.println("files and logs of the nodes: " + folder);
+                }
+            }
+        }
+
+        private static void delete(Path folder) throws IOException {
+            try (Stream<Path> files = Files.list(folder)) {
+                for (Path file : files.toList()) {
+                    Files.delete(file);
+                }
+            }
+            Files.delete(folder);
+        }
     }
 }
--- /dev/null
+++ b/cli/src/test/java/tansypass/cli/RealRunTest.java
@@ -0,0 +1,131 @@
+package tansypass.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import tansypass.rig.judge.Judge;
+import tansypass.rig.judge.Tally.End;
+import tansypass.rig.real.RealRun;
+import tansypass.rig.scenario.Scenario;
+import tansypass.rig.scenario.ScenarioFile;
+
+/** Scenarios on real processes of the program. */
+@Timeout(120)
+class RealRunTest {
+    private static final String WORLD = """
+            name = "test"
+            length = "4s"
+            settle = "2s"
+            [nodes]
+            count = 3
+            [servers]
+            count = 4
+            [clients]
+            rate = 60.0
+            [[classes]]
+            name = "search"
+            repeat = "safe"
+            [[classes]]
+            name = "pay"
+            """;
+    private static final String FAULTS = """
+            [[faults]]
+            kind = "kill"
+            on = ["node-1"]
+            at = "1s"
+            lasts = "200ms"
+            [[faults]]
+            kind = "cut"
+            on = ["node-0", "server-3"]
+            at = "1500ms"
+            lasts = "1s"
+            [[faults]]
+            kind = "kill"
+            on = ["server-2"]
+            at = "2s"
+            lasts = "500ms"
+            """;
+
+    @TempDir
+    private Path folder;
+
+    private Path file(String text) throws IOException {
+        return Files.writeString(folder.resolve("world.toml"), text);
+    }
+
+    @Test
+    void aKilledNodeACutLinkAndAKilledServerBreakNoRule() throws Exception {
+        Scenario scenario = ScenarioFile.read(file(WORLD + FAULTS).toString());
+        Judge judge = RealRun.play(scenario, 7, Self.command("node", "--with-parent"), folder);
+        assertEquals(List.of(), judge.breaches());
+        assertTrue(judge.tally().count(End.SERVED) > judge.tally().offered() / 2,
+                () -> judge.tally().seconds().toString());
+        assertTrue(judge.tally().count(End.UNREACHABLE) > 0, "nobody felt the node's death");
+    }
+
+    @Test
+    void aNodeThatCannotStartIsSaidWithItsReason() throws Exception {
+        Scenario scenario = ScenarioFile.read(file(WORLD).toString());
+        IOException refused = assertThrows(IOException.class, () -> RealRun.play(scenario, 7,
+                Self.command("node", "--with-parent", "--no-such-option"), folder));
+        assertTrue(refused.getMessage().contains("ended with code 2"), refused.getMessage());
+    }
+
+    @Test
+    void moreProcessesThanFitAreRefusedBeforeAnythingStarts() throws Exception {
+        Scenario scenario = ScenarioFile.read(file(WORLD.replace("count = 3", "count = 2000")).toString());
+        IllegalArgumentException refused = assertThrows(IllegalArgumentException.class,
+                () -> RealRun.play(scenario, 7, List.of("nothing"), folder));
+        assertTrue(refused.getMessage().matches("2000 nodes wanted, [0-9]+ fit: .*"), refused.getMessage());
+    }
+
+    @Test
+    void whatTheRigStartedEndsWithItEvenWhenItIsKilled() throws Exception {
+        List<String> command = new ArrayList<>(Self.command("rig", "run", file(WORLD + """
+                [[faults]]
+                kind = "pause"
+                on = ["node-0"]
+                at = "0s"
+                lasts = "10s"
+                """).toString(), "--keep", folder.resolve("kept").toString()));
+        Process rig = new ProcessBuilder(command).redirectErrorStream(true)
+                .redirectOutput(ProcessBuilder.Redirect.DISCARD).start();
+        List<ProcessHandle> children = List.of();
+        try {
+            long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(60);
+            // Until one is stopped, which is in the middle of the play.
+            while (children.stream().noneMatch(RealRunTest::isStopped)) {
+                assertTrue(rig.isAlive() && System.nanoTime() < until, "never in the middle of the play");
+                children = rig.descendants().toList();
+                rig.waitFor(20, TimeUnit.MILLISECONDS);
+            }
+            rig.destroyForcibly().waitFor();
+            for (ProcessHandle child : children) {
+                child.onExit().get(30, TimeUnit.SECONDS);
+            }
+        } finally {
+            rig.destroyForcibly();
+            children.forEach(ProcessHandle::destroyForcibly);
+        }
+    }
+
+    private static boolean isStopped(ProcessHandle process) {
+        try {
+            String stat = Files.readString(Path.of("/proc", Long.toString(process.pid()), "stat"));
+            return stat.substring(stat.lastIndexOf(')') + 1).trim().startsWith("T");
+        } catch (IOException e) {
+            return false;
+        }
+    }
+}
--- a/rig/src/main/java/tansypass/rig/judge/Judge.java
+++ b/rig/src/main/java/tansypass/rig/judge/Judge.java
@@ -33,6 +33,8 @@
     private static final long TOLD_US = 6_000_000;
     /** Beyond one in so many, requests whose new connection was closed unread are lost (STANDING). */
     private static final int UNREAD_PART = 200;
+    /** For the end of a pause that still lasts. */
+    public static final long NOT_YET = Long.MAX_VALUE / 2;
     /** What is kept of breaches; more of the same tell nothing. */
     private static final int MOST_BREACHES = 100;
 
@@ -307,7 +309,7 @@
         note(nowUs, "started", "node-" + node, 0);
     }
 
-    /** A node has stood still for this span. */
+    /** A node stands still in this span, or for an open end until {@link #NOT_YET}. */
     public void paused(long fromUs, int node, long toUs) {
         note(fromUs, "paused", "node-" + node, toUs);
         pauses.put(node, new long[] {fromUs, toUs + LOST_US});
--- a/rig/src/main/java/tansypass/rig/model/WebServer.java
+++ b/rig/src/main/java/tansypass/rig/model/WebServer.java
@@ -14,6 +14,7 @@
 import org.apache.commons.rng.sampling.distribution.ZigguratSampler;
 import tansypass.config.NodeFile.Repeat;
 import tansypass.fleet.env.Scheduler;
+import tansypass.rig.scenario.Scenario.Fault;
 import tansypass.rig.scenario.Scenario.RequestClass;
 import tansypass.rig.scenario.Scenario.Servers;
 
@@ -214,18 +215,19 @@
         }
     }
 
-    /** It does this share of its work. */
-    public void choke(double share) {
-        pace = Math.max(0.001, share);
-    }
-
-    /** It answers this share with an error. */
-    public void errors(double share) {
-        errors = share;
+    /** A fault of its own begins or ends; its death is the shell's. */
+    public void put(Fault fault, boolean begins) {
+        switch (fault.kind()) {
+            case DRAIN -> draining = begins;
+            case CHOKE -> pace = begins ? Math.max(0.001, fault.amount()) : 1;
+            case HANG -> hang(begins);
+            case ERRORS -> errors = begins ? fault.amount() : 0;
+            default -> throw new IllegalArgumentException(fault + " is not a server's own");
+        }
     }
 
     /** It stands still, or goes on. */
-    public void hang(boolean on) {
+    private void hang(boolean on) {
         hanging = on;
         if (!on) {
             List<Runnable> waited = new ArrayList<>(stuck);
@@ -235,11 +237,6 @@
         }
     }
 
-    /** It turns new requests away, or takes them again. */
-    public void drain(boolean on) {
-        draining = on;
-    }
-
     /** It dies: all that it held is gone without a word, and what it remembered too. */
     public void die() {
         queue.forEach(lost -> lost.over = true);
--- /dev/null
+++ b/rig/src/main/java/tansypass/rig/real/DiscoveryAgent.java
@@ -0,0 +1,188 @@
+package tansypass.rig.real;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashSet;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.IntFunction;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+import com.google.gson.JsonArray;
+import com.google.gson.JsonObject;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.Future;
+import tansypass.rig.judge.Judge;
+import tansypass.rig.model.ServerBook;
+import tansypass.rig.model.ServerBook.Entry;
+import tansypass.rig.model.ServerBook.News;
+import tansypass.rig.model.ServerBook.State;
+import tansypass.rig.scenario.Scenario;
+
+/** Discovery as one node sees it: the platform's protocol on a list that all nodes share. */
+final class DiscoveryAgent {
+    private static final int MAX_BODY = 1_024;
+    private static final long QUIET_MS = 2_000;
+    private static final Pattern WATCH = Pattern.compile("/v1/endpoints\\?watch=1&after=([0-9]{1,18})");
+
+    private final EventLoop loop;
+    private final Scenario scenario;
+    private final int node;
+    private final ServerBook book;
+    private final IntFunction<InetSocketAddress> addresses;
+    private final Judge judge;
+    private final PlayClock clock;
+    private final Set<Watch> watches = new LinkedHashSet<>();
+    private Channel listening;
+
+    /** {@code addresses} gives where this node finds a server. */
+    DiscoveryAgent(EventLoop loop, Scenario scenario, int node, ServerBook book,
+            IntFunction<InetSocketAddress> addresses, Judge judge, PlayClock clock) {
+        this.loop = loop;
+        this.scenario = scenario;
+        this.node = node;
+        this.book = book;
+        this.addresses = addresses;
+        this.judge = judge;
+        this.clock = clock;
+    }
+
+    /** Listens at this host, at a port of its own; not to be called on the loop. */
+    void start(String host) throws IOException {
+        listening = Channels.listen(loop, new InetSocketAddress(host, 0), this::accept);
+    }
+
+    InetSocketAddress address() {
+        return Channels.local(listening);
+    }
+
+    private void accept(SocketChannel channel) {
+        channel.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(MAX_BODY), new Call());
+    }
+
+    private String line(News news) {
+        JsonObject json = new JsonObject();
+        json.addProperty("rev", news.revision());
+        json.addProperty("all", news.all());
+        JsonArray targets = new JsonArray();
+        for (Entry entry : news.entries()) {
+            JsonObject target = new JsonObject();
+            target.addProperty("uid", entry.name());
+            target.addProperty("endpoint", Channels.text(addresses.apply(entry.number())));
+            target.addProperty("az", scenario.zone(entry.number()));
+            target.addProperty("model", "rig");
+            target.addProperty("pod_group", entry.number() / scenario.servers().cell());
+            target.addProperty("state", switch (entry.state()) {
+                case READY -> "Ready";
+                case TERMINATING -> "Terminating";
+                case GONE -> "Gone";
+            });
+            target.addProperty("capacity_hint", 1.0);
+            target.addProperty("boot_ms", entry.bootMs());
+            targets.add(target);
+        }
+        json.add("targets", targets);
+        return json + "\n";
+    }
+
+    private void told(News news) {
+        for (Entry entry : news.entries()) {
+            judge.told(clock.nowUs(), node, entry.number(), entry.state() != State.READY);
+        }
+    }
+
+    private final class Call extends SimpleChannelInboundHandler<FullHttpRequest> {
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
+            Matcher watch = WATCH.matcher(request.uri());
+            if (watch.matches()) {
+                new Watch(ctx.channel(), Long.parseLong(watch.group(1))).open();
+            } else if (!book.isSilent()) {
+                boolean list = request.uri().equals("/v1/endpoints");
+                FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
+                        list ? HttpResponseStatus.OK : HttpResponseStatus.NOT_FOUND,
+                        Unpooled.copiedBuffer(list ? line(book.whole()) : "", StandardCharsets.US_ASCII));
+                response.headers().set(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
+                ctx.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+    }
+
+    /** A watch that is open: what has changed since it was last told, whenever the list may be told. */
+    private final class Watch implements Consumer<News> {
+        private final Channel channel;
+        private long revision;
+        private boolean begun;
+        private Future<?> quiet;
+
+        Watch(Channel channel, long after) {
+            this.channel = channel;
+            revision = after;
+        }
+
+        void open() {
+            watches.add(this);
+            book.watch(this);
+            quiet = loop.scheduleAtFixedRate(this::empty, QUIET_MS, QUIET_MS, TimeUnit.MILLISECONDS);
+            channel.closeFuture().addListener(closed -> {
+                quiet.cancel(false);
+                watches.remove(this);
+                book.unwatch(this);
+            });
+            if (!book.isSilent()) {
+                accept(null);
+            }
+        }
+
+        @Override
+        public void accept(News ignored) {
+            if (!begun) {
+                begun = true;
+                HttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+                head.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+                channel.write(head);
+            }
+            News news = revision == 0 ? book.whole() : book.since(revision);
+            revision = news.revision();
+            write(line(news));
+            told(news);
+        }
+
+        private void empty() {
+            if (!book.isSilent() && begun) {
+                write("\n");
+            }
+        }
+
+        private void write(String text) {
+            channel.writeAndFlush(new DefaultHttpContent(
+                    Unpooled.copiedBuffer(text, StandardCharsets.US_ASCII)));
+        }
+    }
+}
--- /dev/null
+++ b/rig/src/main/java/tansypass/rig/real/LoopScheduler.java
@@ -0,0 +1,28 @@
+package tansypass.rig.real;
+
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.EventLoop;
+import tansypass.fleet.env.Scheduler;
+
+/** The time and timers of an event loop. */
+final class LoopScheduler implements Scheduler {
+    private final EventLoop loop;
+    private final long originNs = System.nanoTime();
+
+    LoopScheduler(EventLoop loop) {
+        this.loop = loop;
+    }
+
+    @Override
+    public long nowUs() {
+        return (System.nanoTime() - originNs) / 1_000;
+    }
+
+    @Override
+    public Timer after(long delayUs, Runnable task) {
+        Future<?> waiting = loop.schedule(task, Math.max(0, delayUs), TimeUnit.MICROSECONDS);
+        return () -> waiting.cancel(false);
+    }
+}
--- /dev/null
+++ b/rig/src/main/java/tansypass/rig/real/NodeToml.java
@@ -0,0 +1,62 @@
+package tansypass.rig.real;
+
+import java.net.InetSocketAddress;
+import java.util.Locale;
+import java.util.stream.Collectors;
+
+import tansypass.rig.scenario.Scenario;
+import tansypass.rig.scenario.Scenario.RequestClass;
+
+/** A node's configuration file, from a scenario. */
+final class NodeToml {
+    private NodeToml() { }
+
+    static String of(Scenario scenario, int node, String seed, InetSocketAddress listen,
+            InetSocketAddress admin, InetSocketAddress discovery) {
+        Scenario.Nodes nodes = scenario.nodes();
+        Scenario.Servers servers = scenario.servers();
+        return """
+                [node]
+                name = "node-%d"
+                listen = "%s"
+                admin = "%s"
+                zone = "%s"
+                seed = "%s"
+                [discovery]
+                address = "%s"
+                [service]
+                nodes = %d
+                zones = [%s]
+                attempts = %d
+                second_copies = %s
+                cancel = %s
+                retry_after = "%dus"
+                connect_timeout = "%dus"
+                idle = "%dus"
+                drain_grace = "%dus"
+                cold_from = %s
+                cold = "%dus"
+                [log]
+                level = "%s"
+                """.formatted(node, Channels.text(listen), Channels.text(admin), scenario.zone(node), seed,
+                Channels.text(discovery), nodes.count(),
+                nodes.zones().stream().map(z -> '"' + z + '"').collect(Collectors.joining(", ")),
+                nodes.attempts(), nodes.secondCopies(), nodes.cancel(), nodes.retryAfterUs(),
+                nodes.connectTimeoutUs(), servers.idleUs(), nodes.drainGraceUs(), servers.coldFrom(),
+                servers.coldUs(), nodes.logLevel())
+                + scenario.classes().stream().map(NodeToml::requestClass).collect(Collectors.joining());
+    }
+
+    private static String requestClass(RequestClass cls) {
+        return """
+                [[classes]]
+                name = "%s"
+                repeat = "%s"
+                group = "%s"
+                window = "%dus"
+                aim = "%dus"
+                deadline = "%dus"
+                """.formatted(cls.name(), cls.repeat().name().toLowerCase(Locale.ROOT),
+                cls.group().name().toLowerCase(Locale.ROOT), cls.windowUs(), cls.aimUs(), cls.deadlineUs());
+    }
+}
--- /dev/null
+++ b/rig/src/main/java/tansypass/rig/real/PlayClock.java
@@ -0,0 +1,23 @@
+package tansypass.rig.real;
+
+import tansypass.fleet.env.Scheduler;
+
+/** The time since the load began, which is what the judge and people are told. */
+final class PlayClock {
+    private final Scheduler scheduler;
+    private long beganUs;
+
+    PlayClock(Scheduler scheduler) {
+        this.scheduler = scheduler;
+        beganUs = scheduler.nowUs();
+    }
+
+    /** The load begins now; what came before has times below 0. */
+    void begin() {
+        beganUs = scheduler.nowUs();
+    }
+
+    long nowUs() {
+        return scheduler.nowUs() - beganUs;
+    }
+}
--- /dev/null
+++ b/rig/src/main/java/tansypass/rig/real/RealRun.java
@@ -0,0 +1,422 @@
+package tansypass.rig.real;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import tansypass.fleet.env.Randoms;
+import tansypass.rig.judge.Judge;
+import tansypass.rig.model.Arrivals;
+import tansypass.rig.model.FaultPlan;
+import tansypass.rig.model.Front;
+import tansypass.rig.model.LinkState;
+import tansypass.rig.model.ServerBook;
+import tansypass.rig.model.ServerBook.State;
+import tansypass.rig.model.WebServer;
+import tansypass.rig.scenario.Scenario;
+import tansypass.rig.scenario.Scenario.Fault;
+import tansypass.rig.scenario.Scenario.Kind;
+import tansypass.rig.scenario.Scenario.RequestClass;
+
+/**
+ * Plays a scenario with real processes of the program: nodes as children, stand-ins, links and clients in
+ * this process on one event loop, which also is the judge's only thread.
+ */
+public final class RealRun implements FaultPlan.World {
+    private static final Logger LOG = LoggerFactory.getLogger(RealRun.class);
+
+    /** Clients come when all nodes are ready, or after 30 s (DEPLOY). */
+    private static final long READY_WITHIN_S = 30;
+    private static final long ASK_EVERY_US = 100_000;
+    /** SIGKILL comes no earlier than the longest deadline and 0.7 s after SIGTERM (PROTOCOL). */
+    private static final long TERM_GRACE_US = 700_000;
+    private static final long CHECK_END_US = 20_000;
+    private static final long END_WITHIN_S = 20;
+    private static final Pattern IN_FLIGHT = Pattern.compile("(?m)^node\\.in_flight=([0-9]+)$");
+
+    private final Scenario scenario;
+    private final long seed;
+    private final List<String> command;
+    private final Path folder;
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = group.next();
+    private final LoopScheduler scheduler = new LoopScheduler(loop);
+    private final PlayClock clock = new PlayClock(scheduler);
+    private final Judge judge;
+    private final ServerBook book = new ServerBook();
+    private final Front front;
+    private final List<ServerShell> servers = new ArrayList<>();
+    private final List<Place> places = new ArrayList<>();
+    private final Map<Integer, Relay> links = new HashMap<>();
+    private final Map<String, RequestClass> classes = new HashMap<>();
+    private final CompletableFuture<Void> over = new CompletableFuture<>();
+
+    /** A node's name, addresses, clients and present process. */
+    private final class Place {
+        private final int number;
+        private final InetSocketAddress listen;
+        private final InetSocketAddress admin;
+        private DiscoveryAgent agent;
+        private Relay fromClients;
+        private Clients clients;
+        private NodeProcess process;
+        private boolean up;
+        private int life;
+        private long pausedUs;
+
+        Place(int number, InetSocketAddress listen, InetSocketAddress admin) {
+            this.number = number;
+            this.listen = listen;
+            this.admin = admin;
+        }
+
+        /** The front asks on and on. */
+        void ask() {
+            int asked = life;
+            Ask.get(loop, listen, "/ready", (status, body) -> {
+                if (asked == life && status != Ask.NONE && up != (status == 200)) {
+                    up = !up;
+                    if (up) {
+                        judge.started(clock.nowUs(), number);
+                        front.ready(number);
+                    } else {
+                        front.away(number);
+                    }
+                }
+                scheduler.after(ASK_EVERY_US, this::ask);
+            });
+        }
+
+        void gone() {
+            life++;
+            up = false;
+            clients.broken();
+            front.died(number);
+        }
+
+        void untoldEnd(String how) {
+            judge.died(clock.nowUs(), "node-" + number, how);
+            gone();
+        }
+
+        void kill() {
+            process.kill();
+            gone();
+        }
+
+        void term() {
+            process.term();
+            int ending = life;
+            scheduler.after(longestUs() + TERM_GRACE_US, () -> {
+                if (life == ending && process.isAlive()) {
+                    judge.leaked(clock.nowUs(), "node-" + number + " is still there after SIGTERM");
+                    kill();
+                }
+            });
+        }
+
+        /** Starts again as soon as the old process has ended. */
+        void startAgain() {
+            if (process.isAlive()) {
+                scheduler.after(CHECK_END_US, this::startAgain);
+            } else {
+                life++;
+                up = false;
+                process.start();
+            }
+        }
+
+        void pause(boolean on) {
+            process.pause(on);
+            if (on) {
+                pausedUs = clock.nowUs();
+                judge.paused(pausedUs, number, Judge.NOT_YET);
+            } else {
+                judge.paused(pausedUs, number, clock.nowUs());
+            }
+        }
+    }
+
+    private RealRun(Scenario scenario, long seed, List<String> command, Path folder) {
+        this.scenario = scenario;
+        this.seed = seed;
+        this.command = command;
+        this.folder = folder;
+        judge = new Judge(scenario);
+        front = new Front(scheduler, scenario.nodes().count(), scenario.clients().noticeUs());
+        scenario.classes().forEach(cls -> classes.put(cls.name(), cls));
+    }
+
+    /**
+     * Plays it; the judge knows all there is to know.
+     *
+     * @param command starts a node when its file is added
+     * @param folder for files and logs
+     * @throws IllegalArgumentException if the machine does not bear it; nothing was started then
+     * @throws IOException if an address is taken or a node does not get ready
+     */
+    public static Judge play(Scenario scenario, long seed, List<String> command, Path folder)
+            throws IOException, InterruptedException {
+        Capacity.require(scenario);
+        RealRun run = new RealRun(scenario, seed, command, folder);
+        try (Hosts hosts = Hosts.claim(); Reaper reaper = new Reaper()) {
+            run.build(hosts, reaper);
+            run.startNodes();
+            run.loop.execute(run::begin);
+            run.over.get();
+            run.end();
+        } catch (ExecutionException e) {
+            throw new IllegalStateException("the play failed", e.getCause());
+        } finally {
+            run.places.stream().filter(p -> p.process != null && p.process.isAlive())
+                    .forEach(p -> p.process.kill());
+            run.group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+        }
+        return run.judge;
+    }
+
+    // ---------------------------------------------------------------- before the load
+
+    private void build(Hosts hosts, Reaper reaper) throws IOException {
+        for (int s = 0; s < scenario.servers().count(); s++) {
+            WebServer model = new WebServer("server-" + s, scenario.servers(), scheduler,
+                    Randoms.of(seed, "server-" + s));
+            ServerShell shell = new ServerShell(loop, model, s, judge, clock, classes::get);
+            shell.start(hosts.server(s));
+            servers.add(shell);
+            book.put(model.name(), s, State.READY, 0);
+        }
+        for (int link : FaultPlan.faultyLinks(scenario)) {
+            int node = link / servers.size();
+            int server = link % servers.size();
+            links.put(link, relay("node-" + node + ">server-" + server, delayUs(node, server),
+                    servers.get(server).address(), hosts.server(server)));
+        }
+        for (int n = 0; n < scenario.nodes().count(); n++) {
+            places.add(place(n, hosts, reaper));
+        }
+        for (int n : FaultPlan.faultyClientLinks(scenario)) {
+            Place place = places.get(n);
+            place.fromClients = relay("clients>node-" + n, scenario.net().sameUs(), place.listen,
+                    hosts.node(n));
+        }
+        for (Place place : places) {
+            place.clients = new Clients(loop, scheduler, clock, judge, place.number,
+                    place.fromClients == null ? place.listen : place.fromClients.address());
+        }
+    }
+
+    private long delayUs(int node, int server) {
+        return scenario.zone(node).equals(scenario.zone(server)) ? scenario.net().sameUs()
+                : scenario.net().crossUs();
+    }
+
+    private Relay relay(String name, long delayUs, InetSocketAddress target, String host) throws IOException {
+        Relay relay = new Relay(loop, scheduler, new LinkState(delayUs, Randoms.of(seed, name)), target);
+        relay.start(host);
+        return relay;
+    }
+
+    private Place place(int number, Hosts hosts, Reaper reaper) throws IOException {
+        Place place = new Place(number, hosts.listen(number), hosts.admin(number));
+        place.agent = new DiscoveryAgent(loop, scenario, number, book, server -> {
+            Relay link = links.get(number * servers.size() + server);
+            return link == null ? servers.get(server).address() : link.address();
+        }, judge, clock);
+        place.agent.start(hosts.node(number));
+        String name = "node-" + number;
+        Path file = folder.resolve(name + ".toml");
+        Files.writeString(file, NodeToml.of(scenario, number, HexFormat.of().toHexDigits(
+                Randoms.seedOf(seed, name)), place.listen, place.admin, place.agent.address()));
+        place.process = new NodeProcess(name, command, file, folder.resolve(name + ".log"), reaper, loop,
+                place::untoldEnd);
+        return place;
+    }
+
+    private void startNodes() throws IOException, InterruptedException {
+        CompletableFuture<Void> ready = new CompletableFuture<>();
+        loop.execute(() -> {
+            places.forEach(place -> {
+                place.process.start();
+                place.ask();
+            });
+            awaitReady(ready);
+        });
+        try {
+            ready.get(READY_WITHIN_S, TimeUnit.SECONDS);
+        } catch (TimeoutException e) {
+            throw new IOException("not ready within " + READY_WITHIN_S + " s: " + places.stream()
+                    .filter(p -> !p.up).map(p -> "node-" + p.number + " (" + p.process.lastLines() + ")")
+                    .toList(), e);
+        } catch (ExecutionException e) {
+            throw new IOException(e.getCause().getMessage(), e);
+        }
+    }
+
+    private void awaitReady(CompletableFuture<Void> ready) {
+        if (!judge.breaches().isEmpty()) {
+            ready.completeExceptionally(new IOException(judge.breaches().get(0).what()));
+        } else if (places.stream().allMatch(p -> p.up)) {
+            ready.complete(null);
+        } else {
+            scheduler.after(CHECK_END_US, () -> awaitReady(ready));
+        }
+    }
+
+    // ---------------------------------------------------------------- the load
+
+    private void begin() {
+        LOG.atInfo().addKeyValue("event", "play.begins").addKeyValue("scenario", scenario.name())
+                .log("all nodes are ready");
+        clock.begin();
+        new FaultPlan(scenario, this).start(scheduler);
+        Arrivals arrivals = new Arrivals(scenario.clients().rate(), scenario.classes(), 0,
+                Randoms.of(seed, "load"));
+        arrive(arrivals, arrivals.nextUs());
+        scheduler.after(scenario.lengthUs() + scenario.settleUs(), this::askWhatIsHeld);
+    }
+
+    private void arrive(Arrivals arrivals, long firstUs) {
+        long atUs = firstUs;
+        // Those that are due already go out in one turn: a timer each would make a busy rig later still.
+        while (atUs <= clock.nowUs() && atUs < scenario.lengthUs()) {
+            send(arrivals.nextClass(), HexFormat.of().toHexDigits(arrivals.nextId()), atUs);
+            atUs = arrivals.nextUs();
+        }
+        if (atUs < scenario.lengthUs()) {
+            long nextUs = atUs;
+            scheduler.after(nextUs - clock.nowUs(), () -> arrive(arrivals, nextUs));
+        }
+    }
+
+    private void send(RequestClass cls, String id, long meantUs) {
+        int node = front.pick();
+        if (node < 0 || places.stream().mapToInt(p -> p.clients.open()).sum() >= scenario.clients().most()) {
+            judge.notSent(clock.nowUs(), meantUs);
+        } else {
+            places.get(node).clients.send(id, cls, meantUs);
+        }
+    }
+
+    private long longestUs() {
+        return scenario.classes().stream().mapToLong(RequestClass::deadlineUs).max().orElse(0);
+    }
+
+    // ---------------------------------------------------------------- after it
+
+    private void askWhatIsHeld() {
+        List<Place> up = places.stream().filter(p -> p.up).toList();
+        int[] left = {up.size()};
+        for (Place place : up) {
+            Ask.get(loop, place.admin, "/_vars", (status, body) -> {
+                Matcher held = IN_FLIGHT.matcher(body);
+                if (!held.find()) {
+                    judge.leaked(clock.nowUs(), "node-" + place.number + " does not say what it holds");
+                } else if (!held.group(1).equals("0")) {
+                    judge.leaked(clock.nowUs(), "node-" + place.number + " still holds " + held.group(1)
+                            + " requests");
+                }
+                if (--left[0] == 0) {
+                    finish();
+                }
+            });
+        }
+        if (up.isEmpty()) {
+            finish();
+        }
+    }
+
+    private void finish() {
+        places.forEach(place -> place.clients.close());
+        judge.finish(clock.nowUs());
+        over.complete(null);
+    }
+
+    /** Ends the nodes as planned; one that does not end is a breach. */
+    private void end() throws InterruptedException {
+        places.stream().filter(p -> p.process.isAlive()).forEach(p -> {
+            p.process.pause(false);
+            p.process.term();
+        });
+        for (Place place : places) {
+            if (!place.process.process().waitFor(END_WITHIN_S, TimeUnit.SECONDS)) {
+                judge.leaked(clock.nowUs(), "node-" + place.number + " is still there after SIGTERM");
+                place.process.kill();
+            }
+        }
+    }
+
+    // ---------------------------------------------------------------- faults
+
+    @Override
+    public void node(int number, Fault fault, boolean begins) {
+        Place place = places.get(number);
+        try {
+            if (fault.kind() == Kind.PAUSE) {
+                place.pause(begins);
+            } else if (!begins) {
+                place.startAgain();
+            } else if (place.process.isAlive()) {
+                if (fault.kind() == Kind.KILL) {
+                    place.kill();
+                } else {
+                    place.term();
+                }
+            }
+        } catch (UncheckedIOException e) {
+            over.completeExceptionally(e);
+        }
+    }
+
+    @Override
+    public void server(int number, Fault fault, boolean begins) {
+        ServerShell shell = servers.get(number);
+        if (fault.kind() == Kind.KILL && begins) {
+            shell.die();
+        } else if (fault.kind() == Kind.KILL) {
+            shell.boot();
+            book.put(shell.model().name(), number, State.READY, System.currentTimeMillis());
+        } else {
+            shell.model().put(fault, begins);
+        }
+        if (fault.kind() == Kind.DRAIN) {
+            book.state(shell.model().name(), begins ? State.TERMINATING : State.READY);
+            judge.listed(clock.nowUs(), number, begins);
+        }
+    }
+
+    @Override
+    public void discovery(boolean silent) {
+        book.silence(silent);
+    }
+
+    @Override
+    public void link(int node, int server, Fault fault, boolean begins) {
+        links.get(node * servers.size() + server).put(fault, begins);
+    }
+
+    @Override
+    public void clientLink(int node, Fault fault, boolean begins) {
+        places.get(node).clients.breaking(begins);
+        places.get(node).fromClients.put(fault, begins);
+    }
+}
--- /dev/null
+++ b/rig/src/main/java/tansypass/rig/real/ServerShell.java
@@ -0,0 +1,172 @@
+package tansypass.rig.real;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashSet;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.timeout.IdleStateEvent;
+import io.netty.handler.timeout.IdleStateHandler;
+import tansypass.rig.judge.Judge;
+import tansypass.rig.model.WebServer;
+import tansypass.rig.scenario.Scenario.RequestClass;
+
+/** A web server's sockets; all else is the {@link WebServer}'s. Lives on the rig's loop. */
+final class ServerShell {
+    private static final int MAX_BODY = 65_536;
+
+    private final EventLoop loop;
+    private final WebServer model;
+    private final int number;
+    private final Judge judge;
+    private final PlayClock clock;
+    private final Function<String, RequestClass> classes;
+    private final Set<Channel> open = new LinkedHashSet<>();
+    private InetSocketAddress address;
+    private Channel listening;
+
+    ServerShell(EventLoop loop, WebServer model, int number, Judge judge, PlayClock clock,
+            Function<String, RequestClass> classes) {
+        this.loop = loop;
+        this.model = model;
+        this.number = number;
+        this.judge = judge;
+        this.clock = clock;
+        this.classes = classes;
+    }
+
+    /** Listens at this host, at a port of its own; not to be called on the loop. */
+    void start(String host) throws IOException {
+        listening = Channels.listen(loop, new InetSocketAddress(host, 0), this::accept);
+        address = Channels.local(listening);
+    }
+
+    InetSocketAddress address() {
+        return address;
+    }
+
+    WebServer model() {
+        return model;
+    }
+
+    /** Its process is gone: connections are reset, and new ones refused. */
+    void die() {
+        listening.close();
+        model.die();
+        Set.copyOf(open).forEach(Channels::reset);
+    }
+
+    /** It is up again, cold. */
+    void boot() {
+        model.boot();
+        Channels.bind(loop, address, true, this::accept).addListener(done -> {
+            if (!done.isSuccess()) {
+                judge.died(clock.nowUs(), model.name(), "can't listen again: " + done.cause());
+            }
+        });
+    }
+
+    private void accept(SocketChannel channel) {
+        if (!model.connect()) {
+            Channels.reset(channel);
+            return;
+        }
+        open.add(channel);
+        channel.pipeline().addLast(new IdleStateHandler(0, 0, model.idleUs(), TimeUnit.MICROSECONDS),
+                new HttpServerCodec(), new HttpObjectAggregator(MAX_BODY), new Connection());
+    }
+
+    /** One connection: one request at a time. */
+    private final class Connection extends SimpleChannelInboundHandler<FullHttpRequest> {
+        private boolean fresh = true;
+        private String id;
+        private int attempt;
+        private WebServer.Work work;
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
+            String txn = request.headers().get("X-Txn");
+            String path = request.uri().substring(1).split("[/?]", 2)[0];
+            RequestClass cls = classes.apply(path);
+            if (txn == null || cls == null || request.decoderResult().isFailure()) {
+                write(ctx, HttpResponseStatus.NOT_FOUND, "", null, false);
+                return;
+            }
+            id = txn;
+            attempt = judge.attempt(clock.nowUs(), txn, number);
+            boolean first = fresh;
+            fresh = false;
+            work = model.begin(cls, request.headers().get("Idempotency-Key"), first,
+                    (status, body, report, turnedAway) -> {
+                        if (status == HttpResponseStatus.OK.code()) {
+                            judge.made(clock.nowUs(), txn, number, body);
+                        }
+                        over(turnedAway);
+                        write(ctx, HttpResponseStatus.valueOf(status), body, report, turnedAway);
+                    });
+        }
+
+        private void over(boolean neverRan) {
+            if (id != null) {
+                judge.attemptEnded(clock.nowUs(), id, attempt, neverRan);
+                id = null;
+            }
+        }
+
+        private void write(ChannelHandlerContext ctx, HttpResponseStatus status, String body, String report,
+                boolean turnedAway) {
+            FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
+                    Unpooled.copiedBuffer(body, StandardCharsets.US_ASCII));
+            response.headers().set(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
+            if (report != null) {
+                response.headers().set("X-Pressure", report);
+            }
+            if (turnedAway) {
+                response.headers().set("X-Turned-Away", "1");
+            }
+            ctx.writeAndFlush(response);
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            if (open.remove(ctx.channel())) {
+                if (listening.isOpen()) {
+                    model.disconnect();
+                }
+                if (work != null) {
+                    work.cancel();
+                }
+                over(false);
+            }
+        }
+
+        @Override
+        public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+            if (event instanceof IdleStateEvent && id == null) {
+                ctx.close();
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+    }
+}
--- a/rig/src/main/java/tansypass/rig/virtual/VirtualRun.java
+++ b/rig/src/main/java/tansypass/rig/virtual/VirtualRun.java
@@ -118,6 +118,7 @@
             paused = on;
             if (on) {
                 pausedUs = queue.nowUs();
+                judge.paused(pausedUs, number, Judge.NOT_YET);
                 return;
             }
             judge.paused(pausedUs, number, queue.nowUs());
@@ -457,16 +458,14 @@
     @Override
     public void server(int number, Fault fault, boolean begins) {
         Server server = servers.get(number);
-        switch (fault.kind()) {
-            case KILL -> up(server, !begins);
-            case DRAIN -> {
-                server.model.drain(begins);
-                book.state(server.model.name(), begins ? State.TERMINATING : State.READY);
-                judge.listed(queue.nowUs(), number, begins);
-            }
-            case CHOKE -> server.model.choke(begins ? fault.amount() : 1);
-            case HANG -> server.model.hang(begins);
-            default -> server.model.errors(begins ? fault.amount() : 0);
+        if (fault.kind() == Kind.KILL) {
+            up(server, !begins);
+        } else {
+            server.model.put(fault, begins);
+        }
+        if (fault.kind() == Kind.DRAIN) {
+            book.state(server.model.name(), begins ? State.TERMINATING : State.READY);
+            judge.listed(queue.nowUs(), number, begins);
         }
     }
 
--- /dev/null
+++ b/rig/src/test/java/tansypass/rig/real/ReaperTest.java
@@ -0,0 +1,35 @@
+package tansypass.rig.real;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.concurrent.TimeUnit;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+@Timeout(60)
+class ReaperTest {
+    private static final int KILLED = 128 + 9;
+
+    @Test
+    void aStoppedChildEndsWithTheReapersPipeAndOneThatWasTakenOffDoesNot() throws Exception {
+        Process stopped = new ProcessBuilder("sleep", "1000").start();
+        Process other = new ProcessBuilder("sleep", "1000").start();
+        try {
+            try (Reaper reaper = new Reaper()) {
+                reaper.began(stopped.pid());
+                reaper.began(other.pid());
+                assertEquals(0, new ProcessBuilder("kill", "-STOP", Long.toString(stopped.pid())).start()
+                        .waitFor());
+                reaper.ended(other.pid());
+            }
+            assertEquals(KILLED, stopped.waitFor());
+            assertTrue(other.isAlive());
+        } finally {
+            other.destroyForcibly();
+            stopped.destroyForcibly();
+            assertTrue(other.waitFor(20, TimeUnit.SECONDS));
+        }
+    }
+}
