Serve /metrics on the admin address of ./tansypass node, by a registry library

Need: operators read figures with a scraper; /_vars has a form of its own and stays as it is.

Change: the admin server makes /metrics of the text of /_vars by a function that it is given; ./tansypass node gives one that fills a Prometheus registry (requests by class and outcome, attempts, in flight, web servers, dropped lines of the log, the Java machine's own). The platform's run gives none: 404 there, and no class of it loaded. Not taken: counters in the node besides Figures (each request would be counted twice), Micrometer (its meters want to own the counts).

--- /dev/null
+++ b/cli/src/main/java/tansypass/cli/MetricsPage.java
@@ -0,0 +1,76 @@
+package tansypass.cli;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.function.BiConsumer;
+import java.util.function.UnaryOperator;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Collectors;
+
+import io.prometheus.metrics.core.metrics.CounterWithCallback;
+import io.prometheus.metrics.core.metrics.GaugeWithCallback;
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.instrumentation.jvm.JvmMetrics;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+
+/**
+ * The page {@code /metrics}: the node's figures as {@code /_vars} has them, the log's drops and the Java
+ * machine's own, in Prometheus' text format. Called by the admin loop only.
+ */
+final class MetricsPage implements UnaryOperator<String> {
+    private static final Pattern REQUESTS =
+            Pattern.compile("node\\.requests\\.(.+)\\.(served|refused|failed)");
+
+    private final PrometheusRegistry registry = new PrometheusRegistry();
+    private Map<String, Long> figures = Map.of();
+
+    MetricsPage() {
+        CounterWithCallback.builder().name("tansypass_requests_total").labelNames("class", "outcome")
+                .help("Requests answered, by class and outcome.").callback(all -> each((name, value) -> {
+                    Matcher request = REQUESTS.matcher(name);
+                    if (request.matches()) {
+                        all.call(value, request.group(1), request.group(2));
+                    }
+                })).register(registry);
+        CounterWithCallback.builder().name("tansypass_attempts_total")
+                .help("Requests written whole to web servers.")
+                .callback(one -> one.call(figure("attempts"))).register(registry);
+        CounterWithCallback.builder().name("tansypass_log_lines_dropped_total")
+                .help("Lines of the log that found its queue full.")
+                .callback(one -> one.call(Logs.dropped())).register(registry);
+        gauge("in_flight", "Requests taken and not ended.");
+        gauge("web_servers_known", "Web servers in the list.");
+        gauge("web_servers_excluded", "Listed web servers that the node avoids now.");
+        JvmMetrics.builder().register(registry);
+    }
+
+    private void gauge(String figure, String help) {
+        GaugeWithCallback.builder().name("tansypass_" + figure).help(help)
+                .callback(one -> one.call(figure(figure))).register(registry);
+    }
+
+    private long figure(String name) {
+        return figures.getOrDefault("node." + name, 0L);
+    }
+
+    private void each(BiConsumer<String, Long> action) {
+        figures.forEach(action);
+    }
+
+    @Override
+    public String apply(String vars) {
+        figures = vars.lines().map(line -> line.split("=", 2))
+                .collect(Collectors.toMap(line -> line[0], line -> Long.valueOf(line[1])));
+        ByteArrayOutputStream page = new ByteArrayOutputStream();
+        try {
+            PrometheusTextFormatWriter.create().write(page, registry.scrape());
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        return page.toString(StandardCharsets.UTF_8);
+    }
+}
--- a/cli/src/main/java/tansypass/cli/NodeCommand.java
+++ b/cli/src/main/java/tansypass/cli/NodeCommand.java
@@ -36,7 +36,7 @@
             endWithParent();
         }
         Reload reload = new Reload(file, System.getenv(), first);
-        cedarrelay.node.Main.serve(() -> PlatformJson.of(reload.next()));
+        cedarrelay.node.Main.serve(() -> PlatformJson.of(reload.next()), new MetricsPage());
         return Exit.GOES_ON;
     }
 
--- /dev/null
+++ b/cli/src/test/java/tansypass/cli/MetricsPageTest.java
@@ -0,0 +1,25 @@
+package tansypass.cli;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+
+class MetricsPageTest {
+    @Test
+    void theFiguresOfVarsStandThereWithTheirLabels() {
+        MetricsPage metrics = new MetricsPage();
+        metrics.apply("node.attempts=1\n");
+        String page = metrics.apply("node.requests.pitch-detail.served=812\n"
+                + "node.requests.pitch-detail.refused=3\nnode.attempts=900\nnode.in_flight=14\n");
+        for (String line : List.of(
+                "tansypass_requests_total{class=\"pitch-detail\",outcome=\"served\"} 812.0",
+                "tansypass_requests_total{class=\"pitch-detail\",outcome=\"refused\"} 3.0",
+                "tansypass_attempts_total 900.0", "tansypass_in_flight 14.0",
+                "tansypass_web_servers_known 0.0", "tansypass_log_lines_dropped_total 0.0")) {
+            assertTrue(page.lines().anyMatch(line::equals), () -> line + " is not in\n" + page);
+        }
+        assertTrue(page.contains("jvm_threads_current"), page);
+    }
+}
--- a/node/src/main/java/cedarrelay/node/AdminServer.java
+++ b/node/src/main/java/cedarrelay/node/AdminServer.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashSet;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.UnaryOperator;
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
@@ -46,14 +47,21 @@
     private final Figures figures;
     private final Lifecycle lifecycle;
     private final long callWithinMs;
+    private final UnaryOperator<String> metrics;
     /** Oldest first; used on the event loop of the admin listener only. */
     private final Set<Channel> callers = new LinkedHashSet<>();
 
     /** A call that has not come whole within {@code callWithinMs} is ended. */
     AdminServer(Figures figures, Lifecycle lifecycle, long callWithinMs) {
+        this(figures, lifecycle, callWithinMs, null);
+    }
+
+    /** {@code metrics} makes the page {@code /metrics} of the text of {@code /_vars}; null for none. */
+    AdminServer(Figures figures, Lifecycle lifecycle, long callWithinMs, UnaryOperator<String> metrics) {
         this.figures = figures;
         this.lifecycle = lifecycle;
         this.callWithinMs = callWithinMs;
+        this.metrics = metrics;
     }
 
     /** Binds the address; the future tells whether it could be had. The group must have one thread. */
@@ -90,7 +98,9 @@
                     () -> response(HttpResponseStatus.OK, figures.text()));
             case "/_lameduck/on" -> when(call, HttpMethod.POST, this::sendAway);
             case "/_lameduck/off" -> when(call, HttpMethod.POST, this::takeAgain);
-            default -> response(HttpResponseStatus.NOT_FOUND, "no such call\n");
+            default -> call.uri().equals("/metrics") && metrics != null
+                    ? when(call, HttpMethod.GET, this::metrics)
+                    : response(HttpResponseStatus.NOT_FOUND, "no such call\n");
         };
     }
 
@@ -114,6 +124,12 @@
                 : HttpResponseStatus.SERVICE_UNAVAILABLE, state + "\n");
     }
 
+    private FullHttpResponse metrics() {
+        FullHttpResponse page = response(HttpResponseStatus.OK, metrics.apply(figures.text()));
+        page.headers().set(HttpHeaderNames.CONTENT_TYPE, "text/plain; version=0.0.4; charset=utf-8");
+        return page;
+    }
+
     private FullHttpResponse sendAway() {
         lifecycle.sendAway();
         return response(HttpResponseStatus.OK, lifecycle.state() + "\n");
--- a/node/src/main/java/cedarrelay/node/Main.java
+++ b/node/src/main/java/cedarrelay/node/Main.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import java.util.function.UnaryOperator;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
@@ -47,7 +48,7 @@
             rehearse();
             return;
         }
-        serve(new Environment());
+        serve(new Environment(), null);
     }
 
     /**
@@ -55,8 +56,9 @@
      *
      * @param json gives it in the platform's form, at the start and again at each SIGHUP; throws
      *     IllegalArgumentException with one line if there is none to be had
+     * @param metrics makes the operators' page {@code /metrics} of the text of {@code /_vars}
      */
-    public static void serve(Supplier<String> json) {
+    public static void serve(Supplier<String> json, UnaryOperator<String> metrics) {
         serve(new Source() {
             @Override
             public Config read() {
@@ -67,7 +69,7 @@
             public Config reread() {
                 return read();
             }
-        });
+        }, metrics);
     }
 
     /** Throws IllegalArgumentException with one line if a node could not start with this. */
@@ -101,7 +103,7 @@
         }
     }
 
-    private static void serve(Source source) {
+    private static void serve(Source source, UnaryOperator<String> metrics) {
         EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         EventLoop loop = group.next();
         Config config;
@@ -117,8 +119,8 @@
         onHangUp(() -> reload(source, node, loop));
         if (config.admin() != null) {
             EventLoopGroup callers = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-            new AdminServer(node.figures(), node.lifecycle(), CALL_WITHIN_MS).listen(callers, config.admin())
-                    .addListener(done -> needed(done, "for operators"));
+            new AdminServer(node.figures(), node.lifecycle(), CALL_WITHIN_MS, metrics)
+                    .listen(callers, config.admin()).addListener(done -> needed(done, "for operators"));
         }
         loop.execute(() -> node.start(group, REHEARSED)
                 .addListener(done -> needed(done, "for clients")));
--- a/node/src/test/java/cedarrelay/node/AdminServerTest.java
+++ b/node/src/test/java/cedarrelay/node/AdminServerTest.java
@@ -10,6 +10,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.function.UnaryOperator;
 
 import io.netty.channel.Channel;
 import io.netty.channel.EventLoopGroup;
@@ -39,7 +40,11 @@
     }
 
     private void listen(long callWithinMs) throws Exception {
-        listening = new AdminServer(figures, lifecycle, callWithinMs)
+        listen(callWithinMs, null);
+    }
+
+    private void listen(long callWithinMs, UnaryOperator<String> metrics) throws Exception {
+        listening = new AdminServer(figures, lifecycle, callWithinMs, metrics)
                 .listen(group, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)).sync().channel();
     }
 
@@ -92,6 +97,18 @@
         assertEquals(200, status("GET", "/_ready"));
     }
 
+    @Test
+    void thePageOfMetricsIsMadeOfTheFiguresAndOnlyWhereAskedFor() throws Exception {
+        listen(60_000, vars -> "made of " + vars.lines().count() + " lines");
+        String answer = call("GET /metrics HTTP/1.1\r\n\r\n");
+        assertEquals("text/plain; version=0.0.4; charset=utf-8", FakePeer.header(answer, "Content-Type"));
+        assertTrue(answer.endsWith("made of " + figures.text().lines().count() + " lines"), answer);
+        assertEquals(405, status("POST", "/metrics"));
+        listening.close().sync();
+        listen(60_000);
+        assertEquals(404, status("GET", "/metrics"), "off in run");
+    }
+
     @Test
     void whatIsNoCallIsToldSo() throws Exception {
         listen(60_000);
