Explore fault schedules in virtual time, shrink a breach, and plant a fault for every rule

Need: a rule holds only as far as somebody has tried to break it; drawn schedules on all cores do that.

Change: rig explore draws one to eight faults a schedule, plays them with the world's own, and makes one that breaks a rule smaller (a fault less, or half as long) until nothing can go; it is kept as a scenario file with the command that plays it. A virtual node is made of parts that a test can replace; for each of seven rules a fault is planted that shows only under another fault, and exploring finds it within 400 schedules.

--- /dev/null
+++ b/cli/src/main/java/tansypass/cli/ExploreCommand.java
@@ -0,0 +1,90 @@
+package tansypass.cli;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+
+import picocli.CommandLine.Command;
+import picocli.CommandLine.ITypeConverter;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+import picocli.CommandLine.TypeConversionException;
+import tansypass.config.FaultyFileException;
+import tansypass.rig.explore.Explorer;
+import tansypass.rig.scenario.Scenario;
+import tansypass.rig.scenario.Scenario.Fault;
+import tansypass.rig.scenario.ScenarioFile;
+import tansypass.rig.scenario.ScenarioToml;
+import tansypass.rig.virtual.VirtualRun;
+
+/** Looks for fault schedules that break a rule. */
+@Command(name = "explore", mixinStandardHelpOptions = true,
+        description = "Play a world under drawn fault schedules in virtual time on all cores, and make one"
+                + " that"
+            + " breaks a rule as small as it gets. Exit code 3: one was found.")
+final class ExploreCommand implements Callable<Integer> {
+    @Parameters(paramLabel = "FILE", description = "the scenario; its own faults are played too")
+    private String file;
+    @Option(names = "--budget", defaultValue = "60s", converter = Budget.class,
+            description = "for how long, such as 60s or 10m; default 60s")
+    private long budgetMs;
+    @Option(names = "--seed", defaultValue = "1", description = "the first one; default 1")
+    private long seed;
+    @Option(names = "--most", defaultValue = "2147483647", description = "schedules at most")
+    private int most;
+    @Option(names = "--threads", defaultValue = "0", description = "default: one a core")
+    private int threads;
+    @Option(names = "--keep", paramLabel = "DIR", defaultValue = "scenarios/found",
+            description = "where a schedule that breaks a rule is kept; default scenarios/found")
+    private Path keep;
+    @Spec
+    private CommandSpec spec;
+
+    /** Whole seconds or minutes, as milliseconds. */
+    static final class Budget implements ITypeConverter<Long> {
+        @Override
+        public Long convert(String text) {
+            if (!text.matches("[0-9]{1,6}[sm]")) {
+                throw new TypeConversionException("\"" + text + "\" is not a time such as 60s or 10m");
+            }
+            long number = Long.parseLong(text.substring(0, text.length() - 1));
+            return number * (text.endsWith("m") ? 60_000 : 1_000);
+        }
+    }
+
+    @Override
+    public Integer call() throws IOException, InterruptedException {
+        Scenario world;
+        try {
+            world = ScenarioFile.read(file);
+        } catch (FaultyFileException e) {
+            spec.commandLine().getErr().println(e.getMessage());
+            return Exit.UNUSABLE;
+        }
+        long startNs = System.nanoTime();
+        Explorer.Result result = new Explorer(world, VirtualRun::play).explore(seed, budgetMs, most,
+                threads > 0 ? threads : Runtime.getRuntime().availableProcessors());
+        PrintWriter out = spec.commandLine().getOut();
+        out.printf("%s: %d schedules in %.1f s%n", world.name(), result.tried(),
+                (System.nanoTime() - startNs) / 1e9);
+        if (result.found().isEmpty()) {
+            out.println("no rule was broken");
+            out.flush();
+            return Exit.OK;
+        }
+        Explorer.Found found = result.found().get();
+        Path kept = Files.createDirectories(keep).resolve(world.name() + "-" + found.seed() + ".toml");
+        Files.writeString(kept, ScenarioToml.of(found.smallest()));
+        out.println("RULE BROKEN " + found.breach());
+        for (Fault fault : found.smallest().faults()) {
+            out.println("  " + fault);
+        }
+        out.println("again with: ./tansypass rig run " + kept + " --seed " + found.seed() + " --virtual");
+        out.flush();
+        return Exit.NO;
+    }
+}
--- a/cli/src/main/java/tansypass/cli/RigCommand.java
+++ b/cli/src/main/java/tansypass/cli/RigCommand.java
@@ -22,7 +22,8 @@
 import tansypass.rig.virtual.VirtualRun;
 
 /** Worlds with faults, on real processes or in virtual time. */
-@Command(name = "rig", mixinStandardHelpOptions = true, subcommands = RigCommand.Run.class,
+@Command(name = "rig", mixinStandardHelpOptions = true, subcommands = {RigCommand.Run.class,
+        ExploreCommand.class},
         description = "Play worlds of nodes, servers, load and faults, and judge them.")
 final class RigCommand implements Runnable {
     @Spec
--- /dev/null
+++ b/rig/src/main/java/tansypass/rig/explore/FaultDraw.java
@@ -0,0 +1,73 @@
+package tansypass.rig.explore;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+
+import org.apache.commons.rng.UniformRandomProvider;
+import tansypass.rig.scenario.Scenario;
+import tansypass.rig.scenario.Scenario.Fault;
+import tansypass.rig.scenario.Scenario.Kind;
+import tansypass.rig.scenario.Scenario.Way;
+import tansypass.rig.scenario.ScenarioFile;
+
+/** Draws schedules of faults for a world. */
+final class FaultDraw {
+    private static final int MOST_FAULTS = 8;
+    /** One target in so many is all processes of a kind. */
+    private static final int ALL_IN = 6;
+    private static final double MOST_BYTES_PER_S = 200_000;
+    private static final long MOST_TIME_US = 600_000;
+
+    private final Scenario scenario;
+    private final UniformRandomProvider random;
+
+    FaultDraw(Scenario scenario, UniformRandomProvider random) {
+        this.scenario = scenario;
+        this.random = random;
+    }
+
+    /** One to eight faults, in the order of their begin. */
+    List<Fault> draw() {
+        List<Fault> faults = new ArrayList<>();
+        int count = 1 + random.nextInt(MOST_FAULTS);
+        for (int i = 0; i < count; i++) {
+            faults.add(fault());
+        }
+        faults.sort(Comparator.comparingLong(Fault::atUs));
+        return faults;
+    }
+
+    private Fault fault() {
+        Kind kind = Kind.values()[random.nextInt(Kind.values().length)];
+        long atUs = random.nextLong(scenario.lengthUs());
+        // Short ones as often as long ones: those that just miss something matter as much.
+        long lastsUs = (long) (scenario.lengthUs() / 2 * Math.pow(random.nextDouble(), 3));
+        double amount = kind == Kind.RATE ? ScenarioFile.LEAST_RATE + random.nextDouble() * MOST_BYTES_PER_S
+                : random.nextDouble();
+        return new Fault(kind, atUs, lastsUs, target(kind), Way.values()[random.nextInt(Way.values().length)],
+                amount, random.nextLong(MOST_TIME_US));
+    }
+
+    private List<String> target(Kind kind) {
+        return switch (kind) {
+            case KILL -> List.of(random.nextBoolean() ? node() : server());
+            case TERM, PAUSE -> List.of(node());
+            case DRAIN, CHOKE, HANG, ERRORS -> List.of(server());
+            case SILENCE -> List.of("discovery");
+            default -> random.nextInt(4) == 0 ? List.of("clients", node()) : List.of(node(), server());
+        };
+    }
+
+    private String node() {
+        return one("node-", scenario.nodes().count());
+    }
+
+    private String server() {
+        return one("server-", scenario.servers().count());
+    }
+
+    private String one(String kind, int count) {
+        return kind + (random.nextInt(ALL_IN) == 0 ? "*" : Integer.toString(random.nextInt(count)));
+    }
+}
--- a/rig/src/main/java/tansypass/rig/judge/Judge.java
+++ b/rig/src/main/java/tansypass/rig/judge/Judge.java
@@ -33,8 +33,6 @@
     private static final long TOLD_US = 6_000_000;
     /** Beyond one in so many, requests whose new connection was closed unread are lost (STANDING). */
     private static final int UNREAD_PART = 200;
-    /** For the end of a pause that still lasts. */
-    public static final long NOT_YET = Long.MAX_VALUE / 2;
     /** What is kept of breaches; more of the same tell nothing. */
     private static final int MOST_BREACHES = 100;
 
@@ -44,7 +42,7 @@
     private final Map<String, Taken> requests = new LinkedHashMap<>();
     private final Set<String> over = new HashSet<>();
     private final Map<String, Long> told = new HashMap<>();
-    private final Map<Integer, long[]> pauses = new HashMap<>();
+    private final Map<Integer, List<Excuse>> excuses = new HashMap<>();
     private final MessageDigest trace;
     private final ByteBuffer number = ByteBuffer.allocate(Long.BYTES);
     private int broken;
@@ -83,6 +81,21 @@
         }
     }
 
+    /** A span in which a node can't be blamed for what its clients don't get. */
+    public static final class Excuse {
+        private final long fromUs;
+        private long toUs = Long.MAX_VALUE;
+
+        private Excuse(long fromUs) {
+            this.fromUs = fromUs;
+        }
+
+        /** It is over then. */
+        public void end(long atUs) {
+            toUs = atUs;
+        }
+    }
+
     public Judge(Scenario scenario) {
         this.scenario = scenario;
         try {
@@ -217,7 +230,7 @@
             breach(Rule.INVENTED_ANSWER, nowUs, "node-" + request.node + " served " + id
                     + " with what no server made for it");
         }
-        if (nowUs > request.deadlineUs + SLACK_US + LOST_US && !wasPaused(request)) {
+        if (nowUs > request.deadlineUs + SLACK_US + LOST_US && !isExcused(request)) {
             breach(Rule.ANSWERED, nowUs, "node-" + request.node + " answered " + id + " "
                     + (nowUs - request.deadlineUs) / 1_000 + " ms past its time");
         }
@@ -227,14 +240,14 @@
     /**
      * The client's connection ended without a whole answer.
      *
-     * @param excused the node was killed, or the link between them broke
-     * @param unread it was the first request on its connection, and nothing came back
+     * @param first it was the first request on its connection, and nothing came back
      */
-    public void broken(long nowUs, String id, boolean excused, boolean unread) {
-        note(nowUs, "broken", id, excused ? 1 : 0);
+    public void broken(long nowUs, String id, boolean first) {
+        note(nowUs, "broken", id, first ? 1 : 0);
         Taken request = requests.get(id);
-        if (!excused && unread) {
-            this.unread++;
+        boolean excused = isExcused(request);
+        if (!excused && first) {
+            unread++;
         } else if (!excused) {
             breach(Rule.ANSWERED, nowUs, "node-" + request.node + " ended the connection of " + id
                     + " without a whole answer");
@@ -249,10 +262,10 @@
     }
 
     /** The client waits no more: far past its time, so that what it was owed is lost. */
-    public void gaveUp(long nowUs, String id, boolean excused) {
-        note(nowUs, "gave up", id, excused ? 1 : 0);
+    public void gaveUp(long nowUs, String id) {
+        note(nowUs, "gave up", id, 0);
         Taken request = requests.get(id);
-        if (!excused && !wasPaused(request)) {
+        if (!isExcused(request)) {
             breach(Rule.ANSWERED, nowUs, "node-" + request.node + " never answered " + id);
         }
         end(nowUs, id, request, End.TIMED_OUT);
@@ -263,9 +276,9 @@
         return deadlineUs + SLACK_US + LOST_US + SLACK_US;
     }
 
-    private boolean wasPaused(Taken request) {
-        long[] pause = pauses.get(request.node);
-        return pause != null && pause[0] <= request.deadlineUs && pause[1] >= request.meantUs;
+    private boolean isExcused(Taken request) {
+        return excuses.getOrDefault(request.node, List.of()).stream().anyMatch(excuse ->
+                excuse.fromUs <= patienceUs(request.deadlineUs) && excuse.toUs >= request.meantUs);
     }
 
     private void end(long nowUs, String id, Taken request, End end) {
@@ -298,8 +311,12 @@
     /** The list has changed: whether or not it reaches a node, it counts as told a while later. */
     public void listed(long nowUs, int server, boolean leaves) {
         for (int node = 0; node < scenario.nodes().count(); node++) {
+            String key = key(node, server);
             if (leaves) {
-                told.putIfAbsent(key(node, server), nowUs + TOLD_US);
+                told.putIfAbsent(key, nowUs + TOLD_US);
+            } else if (told.getOrDefault(key, nowUs) > nowUs) {
+                // It is back before the node counts as told that it left.
+                told.remove(key);
             }
         }
     }
@@ -307,12 +324,15 @@
     /** A new life of a node knows only what it is told in it. */
     public void started(long nowUs, int node) {
         note(nowUs, "started", "node-" + node, 0);
+        told.replaceAll((key, atUs) -> key.startsWith(node + ">") && atUs <= nowUs ? nowUs + TOLD_US : atUs);
     }
 
-    /** A node stands still in this span, or for an open end until {@link #NOT_YET}. */
-    public void paused(long fromUs, int node, long toUs) {
-        note(fromUs, "paused", "node-" + node, toUs);
-        pauses.put(node, new long[] {fromUs, toUs + LOST_US});
+    /** A node is killed or stands still, or the link between it and the clients is broken, from now on. */
+    public Excuse excuse(long nowUs, int node) {
+        note(nowUs, "excused", "node-" + node, 0);
+        Excuse excuse = new Excuse(nowUs);
+        excuses.computeIfAbsent(node, n -> new ArrayList<>()).add(excuse);
+        return excuse;
     }
 
     /** A process has ended that nobody told to. */
@@ -330,7 +350,7 @@
         for (Map.Entry<String, Taken> left : new ArrayList<>(requests.entrySet())) {
             Taken request = left.getValue();
             if (request.endedUs < 0) {
-                gaveUp(nowUs, left.getKey(), false);
+                gaveUp(nowUs, left.getKey());
             }
             request.attempts.stream().filter(a -> a.out).forEach(a -> {
                 checkBeside(nowUs, left.getKey(), a);
--- a/rig/src/main/java/tansypass/rig/model/FaultPlan.java
+++ b/rig/src/main/java/tansypass/rig/model/FaultPlan.java
@@ -37,12 +37,13 @@
         this.world = world;
     }
 
-    /** The play begins now. */
+    /** The play begins now. No fault outlasts the load: what follows is for the world to come to rest. */
     public void start(Scheduler scheduler) {
         for (Fault fault : scenario.faults()) {
             scheduler.after(fault.atUs(), () -> {
                 put(fault, true);
-                scheduler.after(fault.lastsUs(), () -> put(fault, false));
+                long lastsUs = Math.min(fault.lastsUs(), scenario.lengthUs() - fault.atUs());
+                scheduler.after(lastsUs, () -> put(fault, false));
             });
         }
     }
--- a/rig/src/main/java/tansypass/rig/model/LinkState.java
+++ b/rig/src/main/java/tansypass/rig/model/LinkState.java
@@ -60,6 +60,11 @@
         return is(Kind.RESET, Direction.THERE) || is(Kind.RESET, Direction.BACK);
     }
 
+    /** When the last piece that has entered comes out. */
+    public long busyUntilUs() {
+        return Math.max(lastDueUs[0], lastDueUs[1]);
+    }
+
     /** When a piece that enters now comes out, never before an earlier one. */
     public long dueUs(Direction direction, long nowUs, int bytes) {
         long wayUs = delayUs;
@@ -71,7 +76,7 @@
                     case JITTER -> Math.round(random.nextDouble() * fault.timeUs());
                     default -> 0;
                 };
-                rate = fault.kind() == Kind.RATE ? Math.min(rate, Math.max(1, fault.amount())) : rate;
+                rate = fault.kind() == Kind.RATE ? Math.min(rate, fault.amount()) : rate;
             }
         }
         int index = direction.ordinal();
--- a/rig/src/main/java/tansypass/rig/model/ServerBook.java
+++ b/rig/src/main/java/tansypass/rig/model/ServerBook.java
@@ -22,6 +22,7 @@
     public record News(long revision, boolean all, List<Entry> entries) { }
 
     private final Map<String, Entry> entries = new LinkedHashMap<>();
+    private final Map<String, Entry> toldEntries = new LinkedHashMap<>();
     private final List<Consumer<News>> watchers = new ArrayList<>();
     private long revision;
     private long toldRevision;
@@ -45,6 +46,11 @@
                 entries.values().stream().filter(e -> e.state != State.GONE).toList());
     }
 
+    /** The list as it was last told, which is what a node that starts has. */
+    public List<Entry> known() {
+        return List.copyOf(toldEntries.values());
+    }
+
     /** What changed after a version. */
     public News since(long after) {
         return new News(revision, false, entries.values().stream().filter(e -> e.revision > after).toList());
@@ -74,6 +80,7 @@
         if (!silent && toldRevision < revision) {
             News news = since(toldRevision);
             toldRevision = revision;
+            toldEntries.putAll(entries);
             new ArrayList<>(watchers).forEach(watcher -> watcher.accept(news));
         }
     }
--- a/rig/src/main/java/tansypass/rig/real/Clients.java
+++ b/rig/src/main/java/tansypass/rig/real/Clients.java
@@ -44,9 +44,6 @@
     private final InetSocketAddress address;
     private final Deque<Connection> idle = new ArrayDeque<>();
     private final Set<Call> open = new LinkedHashSet<>();
-    /** When the node last died or its link last broke: what was open then is owed nothing. */
-    private long brokenUs = Long.MIN_VALUE;
-    private boolean breaking;
 
     Clients(EventLoop loop, Scheduler scheduler, PlayClock clock, Judge judge, int node,
             InetSocketAddress address) {
@@ -62,17 +59,6 @@
         return open.size();
     }
 
-    /** The node is killed now, or its link breaks now. */
-    void broken() {
-        brokenUs = clock.nowUs();
-    }
-
-    /** From now on, and until it is over, nothing that breaks is the node's doing. */
-    void breaking(boolean on) {
-        breaking = on;
-        broken();
-    }
-
     /** Sends one request; the judge is told of all that becomes of it. */
     void send(String id, RequestClass cls, long meantUs) {
         long nowUs = clock.nowUs();
@@ -115,7 +101,6 @@
         private final String id;
         private final RequestClass cls;
         private final long deadlineUs;
-        private final long sentUs = clock.nowUs();
         private Scheduler.Timer timer;
         private Connection on;
         private boolean over;
@@ -132,14 +117,10 @@
             open.remove(this);
         }
 
-        boolean isExcused() {
-            return breaking || brokenUs >= sentUs;
-        }
-
         void giveUp() {
             if (!over) {
                 end();
-                judge.gaveUp(clock.nowUs(), id, isExcused());
+                judge.gaveUp(clock.nowUs(), id);
                 if (on != null) {
                     on.channel.close();
                 }
@@ -212,7 +193,7 @@
                 dial(cut);
             } else {
                 cut.end();
-                judge.broken(clock.nowUs(), cut.id, cut.isExcused(), true);
+                judge.broken(clock.nowUs(), cut.id, true);
             }
         }
 
--- a/rig/src/main/java/tansypass/rig/real/NodeProcess.java
+++ b/rig/src/main/java/tansypass/rig/real/NodeProcess.java
@@ -76,6 +76,10 @@
         return process != null && process.isAlive();
     }
 
+    boolean isStopped() {
+        return isAlive() && stopped;
+    }
+
     Process process() {
         return process;
     }
@@ -89,7 +93,9 @@
     /** SIGTERM. */
     void term() {
         toldToEnd = true;
-        process.destroy();
+        // Not destroy(), which closes the child's standard input too: to the child that is its parent's
+        // death.
+        signal("-TERM");
     }
 
     /** SIGSTOP, or SIGCONT. */
--- a/rig/src/main/java/tansypass/rig/real/RealRun.java
+++ b/rig/src/main/java/tansypass/rig/real/RealRun.java
@@ -80,8 +80,11 @@
         private Clients clients;
         private NodeProcess process;
         private boolean up;
+        /** Told to end, and not started again yet. */
+        private boolean down;
         private int life;
-        private long pausedUs;
+        private final Map<Fault, Judge.Excuse> linkExcuses = new HashMap<>();
+        private Judge.Excuse pause;
 
         Place(int number, InetSocketAddress listen, InetSocketAddress admin) {
             this.number = number;
@@ -109,8 +112,17 @@
         void gone() {
             life++;
             up = false;
-            clients.broken();
             front.died(number);
+            endWithProcess(judge.excuse(clock.nowUs(), number));
+        }
+
+        /** SIGKILL takes a moment, in which clients may still come. */
+        private void endWithProcess(Judge.Excuse death) {
+            if (process.isAlive()) {
+                scheduler.after(CHECK_END_US, () -> endWithProcess(death));
+            } else {
+                death.end(clock.nowUs());
+            }
         }
 
         void untoldEnd(String how) {
@@ -119,39 +131,48 @@
         }
 
         void kill() {
+            down = true;
             process.kill();
             gone();
         }
 
         void term() {
+            down = true;
             process.term();
             int ending = life;
-            scheduler.after(longestUs() + TERM_GRACE_US, () -> {
-                if (life == ending && process.isAlive()) {
-                    judge.leaked(clock.nowUs(), "node-" + number + " is still there after SIGTERM");
-                    kill();
-                }
-            });
+            scheduler.after(longestUs() + TERM_GRACE_US, () -> endInTime(ending));
         }
 
-        /** Starts again as soon as the old process has ended. */
+        /** One that stands still has not seen the signal yet. */
+        private void endInTime(int ending) {
+            if (life == ending && process.isStopped()) {
+                scheduler.after(TERM_GRACE_US, () -> endInTime(ending));
+            } else if (life == ending && process.isAlive()) {
+                judge.leaked(clock.nowUs(), "node-" + number + " is still there after SIGTERM");
+                kill();
+            }
+        }
+
+        /** A fault that ended the process is over: it starts again as soon as the old one has ended. */
         void startAgain() {
-            if (process.isAlive()) {
-                scheduler.after(CHECK_END_US, this::startAgain);
-            } else {
-                life++;
-                up = false;
-                process.start();
+            if (down && !over.isDone()) {
+                if (process.isAlive()) {
+                    scheduler.after(CHECK_END_US, this::startAgain);
+                } else {
+                    down = false;
+                    life++;
+                    up = false;
+                    process.start();
+                }
             }
         }
 
         void pause(boolean on) {
             process.pause(on);
             if (on) {
-                pausedUs = clock.nowUs();
-                judge.paused(pausedUs, number, Judge.NOT_YET);
-            } else {
-                judge.paused(pausedUs, number, clock.nowUs());
+                pause = judge.excuse(clock.nowUs(), number);
+            } else if (pause != null) {
+                pause.end(clock.nowUs());
             }
         }
     }
@@ -416,7 +437,12 @@
 
     @Override
     public void clientLink(int node, Fault fault, boolean begins) {
-        places.get(node).clients.breaking(begins);
-        places.get(node).fromClients.put(fault, begins);
+        Place place = places.get(node);
+        place.fromClients.put(fault, begins);
+        if (begins) {
+            place.linkExcuses.put(fault, judge.excuse(clock.nowUs(), node));
+        } else {
+            place.linkExcuses.remove(fault).end(clock.nowUs() + place.fromClients.busyForUs());
+        }
     }
 }
--- a/rig/src/main/java/tansypass/rig/real/Relay.java
+++ b/rig/src/main/java/tansypass/rig/real/Relay.java
@@ -67,6 +67,11 @@
         return address;
     }
 
+    /** For how long what has entered is still on its way. */
+    long busyForUs() {
+        return Math.max(0, state.busyUntilUs() - scheduler.nowUs());
+    }
+
     /** A fault begins or ends; to be called on the loop. */
     void put(Fault fault, boolean begins) {
         if (begins) {
--- a/rig/src/main/java/tansypass/rig/real/ServerShell.java
+++ b/rig/src/main/java/tansypass/rig/real/ServerShell.java
@@ -10,6 +10,7 @@
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
@@ -77,7 +78,9 @@
     void boot() {
         model.boot();
         Channels.bind(loop, address, true, this::accept).addListener(done -> {
-            if (!done.isSuccess()) {
+            if (done.isSuccess()) {
+                listening = ((ChannelFuture) done).channel();
+            } else {
                 judge.died(clock.nowUs(), model.name(), "can't listen again: " + done.cause());
             }
         });
--- a/rig/src/main/java/tansypass/rig/scenario/ScenarioFile.java
+++ b/rig/src/main/java/tansypass/rig/scenario/ScenarioFile.java
@@ -25,6 +25,9 @@
     private static final String END = "(node|server)-([0-9]{1,4}|\\*)|clients|discovery";
     private static final String END_ALLOWED = "node-N, server-N, node-*, server-*, clients or discovery";
 
+    /** A rate under this would hold single messages for seconds, which is a cut. */
+    public static final double LEAST_RATE = 1_000;
+
     private ScenarioFile() { }
 
     /** Throws {@link FaultyFileException} with all that is wrong. */
@@ -95,9 +98,12 @@
             line.fault("on", kind.isLink() ? "a fault of a link needs its two ends"
                     : "a fault of a process needs one name");
         }
-        return new Fault(kind, line.span("at", 0, HOUR_US), line.span("lasts", 0, HOUR_US, 1_000_000), target,
-                line.oneOf("way", Way.class, Way.BOTH), line.decimal("amount", 0, 1e9, 0.5),
-                line.span("time", 0, MINUTE_US, 100_000));
+        long atUs = line.span("at", 0, HOUR_US);
+        long lastsUs = line.span("lasts", 0, HOUR_US, 1_000_000);
+        Way way = line.oneOf("way", Way.class, Way.BOTH);
+        double amount = kind == Kind.RATE ? line.decimal("amount", LEAST_RATE, 1e9, 100_000)
+                : line.decimal("amount", 0, 1, 0.5);
+        return new Fault(kind, atUs, lastsUs, target, way, amount, line.span("time", 0, MINUTE_US, 100_000));
     }
 
     /** Whether the fault can be on what it names, and that exists. */
--- /dev/null
+++ b/rig/src/main/java/tansypass/rig/virtual/NodeParts.java
@@ -0,0 +1,22 @@
+package tansypass.rig.virtual;
+
+import cedarrelay.Balancer;
+import cedarrelay.Balancer.Actions;
+import cedarrelay.Balancer.Settings;
+import cedarrelay.ServiceQBalancer;
+
+/** What a virtual node is made of; another product's module, or a fault planted by a test, goes in here. */
+public interface NodeParts {
+    /** The product's own. */
+    NodeParts OWN = new NodeParts() { };
+
+    /** The decision module of a node. */
+    default Balancer balancer(Settings settings, long seed, Actions actions) {
+        return new ServiceQBalancer(settings, seed, actions);
+    }
+
+    /** What lies around a node, which may be changed on the way. */
+    default VirtualNetwork network(VirtualNetwork network) {
+        return network;
+    }
+}
--- a/rig/src/main/java/tansypass/rig/virtual/VirtualNode.java
+++ b/rig/src/main/java/tansypass/rig/virtual/VirtualNode.java
@@ -14,7 +14,6 @@
 import cedarrelay.Balancer.Result;
 import cedarrelay.Balancer.ServerEntry;
 import cedarrelay.Balancer.Settings;
-import cedarrelay.ServiceQBalancer;
 import tansypass.fleet.env.Scheduler;
 
 /**
@@ -32,7 +31,7 @@
     private static final int OUT_OF_TIME = 504;
 
     private final Scheduler scheduler;
-    private final Network network;
+    private final VirtualNetwork network;
     private final Settings settings;
     private final Balancer balancer;
     private final Map<Long, Held> held = new HashMap<>();
@@ -42,35 +41,6 @@
     private boolean dead;
     private Scheduler.Timer wake;
 
-    /** What lies around a node. */
-    interface Network {
-        /** Asks for a connection; the result is OK, or why there is none. */
-        void connect(String server, Reply reply);
-
-        /** Writes a request on a connection; {@code fresh} if it is the first on it. What comes back. */
-        Flight send(String server, long request, boolean fresh, Reply reply);
-
-        /** A connection that was kept is closed. */
-        void hangUp(String server);
-
-        /** A final answer to a client. */
-        void answer(long request, int status, String body);
-
-        /** A line of the module for the log. */
-        void log(String line);
-    }
-
-    /** What comes back on a connection. */
-    interface Reply {
-        void done(Result result, int status, String body);
-    }
-
-    /** An attempt on its way. */
-    interface Flight {
-        /** Its connection is closed. */
-        void close();
-    }
-
     private final class Held {
         private final long id;
         private final long deadlineUs;
@@ -108,7 +78,7 @@
         private final String server;
         private final long sentUs = scheduler.nowUs();
         private Scheduler.Timer timer;
-        private Flight flight;
+        private VirtualNetwork.Flight flight;
         private boolean written;
         private boolean over;
 
@@ -187,11 +157,13 @@
         }
     }
 
-    VirtualNode(Scheduler scheduler, Network network, Settings settings, long seed, List<ServerEntry> known) {
+    VirtualNode(Scheduler scheduler, VirtualNetwork network, Settings settings, long seed,
+            List<ServerEntry> known,
+            NodeParts parts) {
         this.scheduler = scheduler;
-        this.network = network;
+        this.network = parts.network(network);
         this.settings = settings;
-        balancer = new ServiceQBalancer(settings, seed, this);
+        balancer = parts.balancer(settings, seed, this);
         enter(() -> balancer.onServers(scheduler.nowUs(), ListKind.CACHED, known));
     }
 
@@ -281,13 +253,21 @@
         inCall = true;
         try {
             for (Runnable next = calls.poll(); next != null; next = calls.poll()) {
-                next.run();
+                run(next);
             }
         } finally {
             inCall = false;
         }
     }
 
+    private void run(Runnable call) {
+        try {
+            call.run();
+        } catch (RuntimeException e) {
+            network.failed(e);
+        }
+    }
+
     @Override
     public void send(long requestId, String serverId, long untilUs) {
         Held request = held.get(requestId);
--- a/rig/src/main/java/tansypass/rig/virtual/VirtualRun.java
+++ b/rig/src/main/java/tansypass/rig/virtual/VirtualRun.java
@@ -16,6 +16,7 @@
 import cedarrelay.Balancer.Settings;
 import org.apache.commons.rng.UniformRandomProvider;
 import tansypass.fleet.env.Randoms;
+import tansypass.fleet.env.Scheduler;
 import tansypass.rig.judge.Judge;
 import tansypass.rig.model.Arrivals;
 import tansypass.rig.model.FaultPlan;
@@ -34,6 +35,9 @@
 public final class VirtualRun implements FaultPlan.World {
     /** What a start takes; real ones are measured by the real run. */
     private static final long START_US = 1_500_000;
+    /** As the node's own network code does at its end. */
+    private static final long ACCEPT_WHILE_STOPPING_US = 600_000;
+    private static final long DONE_CHECK_US = 5_000;
     /** A request or answer on the wire, for links with a limited rate. */
     private static final int MESSAGE_BYTES = 300;
     /** SIGKILL follows SIGTERM so much after the longest deadline. */
@@ -41,6 +45,7 @@
 
     private final Scenario scenario;
     private final long seed;
+    private final NodeParts parts;
     private final EventQueue queue = new EventQueue();
     private final Judge judge;
     private final List<Server> servers = new ArrayList<>();
@@ -71,16 +76,19 @@
     }
 
     /** A node's name and address, which outlive its process. */
-    private final class NodePlace implements VirtualNode.Network {
+    private final class NodePlace implements VirtualNetwork, Scheduler {
         private final int number;
         private final LinkState fromClients;
         private final List<LinkState> links = new ArrayList<>();
+        private final Map<Fault, Judge.Excuse> linkExcuses = new HashMap<>();
         private final List<Runnable> waiting = new ArrayList<>();
         private VirtualNode node;
         private int life;
         private boolean paused;
         private boolean leaving;
-        private long pausedUs;
+        private boolean starting;
+        private boolean startWanted;
+        private Judge.Excuse pause;
 
         NodePlace(int number) {
             this.number = number;
@@ -95,13 +103,31 @@
 
         void start() {
             life++;
-            leaving = false;
+            starting = false;
             judge.started(queue.nowUs(), number);
-            node = new VirtualNode(queue, this, settings(number),
-                    Randoms.seedOf(seed, "node-" + number + "#" + life), entries(book.whole().entries()));
+            List<ServerBook.Entry> known = book.known();
+            known.stream().filter(e -> e.state() != State.READY)
+                    .forEach(e -> judge.told(queue.nowUs(), number, e.number(), true));
+            node = new VirtualNode(this, this, settings(number),
+                    Randoms.seedOf(seed, "node-" + number + "#" + life), entries(known), parts);
             front.ready(number);
         }
 
+        /** A fault that ended the process is over; one that goes on leaving starts again after its end. */
+        void startAgain() {
+            if (leaving) {
+                startWanted = true;
+            } else if (node == null && !starting) {
+                starting = true;
+                int begun = life;
+                queue.after(START_US, () -> {
+                    if (life == begun && starting) {
+                        start();
+                    }
+                });
+            }
+        }
+
         /** Something reaches the node's process: at once, or when it goes on. */
         void reach(int inLife, Runnable event) {
             if (inLife != life || node == null) {
@@ -109,53 +135,112 @@
             }
             if (paused) {
                 waiting.add(() -> reach(inLife, event));
-            } else {
-                event.run();
+                return;
             }
+            event.run();
+        }
+
+        @Override
+        public long nowUs() {
+            return queue.nowUs();
+        }
+
+        /** The node's own timers: a process that stands still sees them late, and a dead one never. */
+        @Override
+        public Timer after(long delayUs, Runnable task) {
+            int inLife = life;
+            boolean[] cancelled = new boolean[1];
+            Timer timer = queue.after(delayUs, () -> reach(inLife, () -> {
+                if (!cancelled[0]) {
+                    task.run();
+                }
+            }));
+            return () -> {
+                cancelled[0] = true;
+                timer.cancel();
+            };
         }
 
         void pause(boolean on) {
-            paused = on;
-            if (on) {
-                pausedUs = queue.nowUs();
-                judge.paused(pausedUs, number, Judge.NOT_YET);
-                return;
+            if (on && node != null && !paused) {
+                paused = true;
+                pause = judge.excuse(queue.nowUs(), number);
+            } else if (!on && paused) {
+                goOn();
+                List<Runnable> missed = new ArrayList<>(waiting);
+                waiting.clear();
+                missed.forEach(Runnable::run);
             }
-            judge.paused(pausedUs, number, queue.nowUs());
-            List<Runnable> missed = new ArrayList<>(waiting);
-            waiting.clear();
-            missed.forEach(Runnable::run);
         }
 
+        private void goOn() {
+            paused = false;
+            pause.end(queue.nowUs());
+        }
+
+        /** SIGKILL, of a process that is just starting too. */
         void kill() {
-            if (node != null) {
-                node.die();
-                node = null;
-                front.died(number);
-                int ended = life++;
-                new ArrayList<>(clients.values()).stream().filter(c -> c.node == number && c.life == ended)
-                        .forEach(c -> {
-                            clients.remove(c.id);
-                            judge.broken(queue.nowUs(), c.id, true, false);
-                        });
+            starting = false;
+            if (node == null) {
+                life++;
+                return;
+            }
+            if (paused) {
+                goOn();
+                waiting.clear();
+            }
+            int ended = life;
+            front.died(number);
+            judge.excuse(queue.nowUs(), number).end(queue.nowUs());
+            gone();
+            new ArrayList<>(clients.values()).stream().filter(c -> c.node == number && c.life == ended)
+                    .forEach(c -> {
+                        clients.remove(c.id);
+                        judge.broken(queue.nowUs(), c.id, false);
+                    });
+        }
+
+        private void gone() {
+            node.die();
+            node = null;
+            life++;
+            leaving = false;
+            if (startWanted) {
+                startWanted = false;
+                startAgain();
             }
         }
 
+        /** SIGTERM: takes what still comes for a while, answers all, and ends. */
         void term() {
-            if (node != null) {
+            if (node != null && !leaving) {
                 leaving = true;
                 front.away(number);
                 int ending = life;
-                queue.after(longestUs() + TERM_GRACE_US, () -> {
-                    if (life == ending && leaving) {
-                        kill();
-                    }
-                });
+                queue.after(ACCEPT_WHILE_STOPPING_US, () -> endWhenDone(ending));
+                queue.after(longestUs() + TERM_GRACE_US, () -> endInTime(ending));
+            }
+        }
+
+        private void endWhenDone(int ending) {
+            if (life == ending && !paused && node.inFlight() == 0) {
+                gone();
+            } else if (life == ending) {
+                queue.after(DONE_CHECK_US, () -> endWhenDone(ending));
+            }
+        }
+
+        private void endInTime(int ending) {
+            if (life == ending && paused) {
+                queue.after(TERM_GRACE_US, () -> endInTime(ending));
+            } else if (life == ending) {
+                judge.leaked(queue.nowUs(), "node-" + number + " is still there after SIGTERM");
+                kill();
             }
         }
 
         @Override
-        public void connect(String name, VirtualNode.Reply reply) {
+        public void connect(String name, VirtualNetwork.Reply reply) {
             Server server = server(name);
             LinkState link = links.get(server.number);
             int inLife = life;
@@ -173,7 +258,8 @@
         }
 
         @Override
-        public VirtualNode.Flight send(String name, long request, boolean fresh, VirtualNode.Reply reply) {
+        public VirtualNetwork.Flight send(String name, long request, boolean fresh,
+                VirtualNetwork.Reply reply) {
             Flying flying = new Flying(this, server(name), request, fresh, reply);
             flying.start();
             return flying;
@@ -198,6 +284,11 @@
             });
         }
 
+        @Override
+        public void failed(RuntimeException fault) {
+            judge.died(queue.nowUs(), "node-" + number, "failed in a call of its module: " + fault);
+        }
+
         @Override
         public void log(String line) {
             // The real run shows the node's own log.
@@ -205,13 +296,13 @@
     }
 
     /** An attempt on its way to a server and back. */
-    private final class Flying implements VirtualNode.Flight {
+    private final class Flying implements VirtualNetwork.Flight {
         private final NodePlace from;
         private final Server server;
         private final LinkState link;
         private final String id;
         private final boolean fresh;
-        private final VirtualNode.Reply reply;
+        private final VirtualNetwork.Reply reply;
         private final int life;
         private final Runnable onReset = this::reset;
         private WebServer.Work work;
@@ -219,7 +310,7 @@
         private boolean arrived;
         private boolean over;
 
-        Flying(NodePlace from, Server server, long request, boolean fresh, VirtualNode.Reply reply) {
+        Flying(NodePlace from, Server server, long request, boolean fresh, VirtualNetwork.Reply reply) {
             this.from = from;
             this.server = server;
             this.fresh = fresh;
@@ -299,8 +390,9 @@
         }
     }
 
-    private VirtualRun(Scenario scenario, long seed) {
+    private VirtualRun(Scenario scenario, long seed, NodeParts parts) {
         this.scenario = scenario;
+        this.parts = parts;
         this.seed = seed;
         judge = new Judge(scenario);
         front = new Front(queue, scenario.nodes().count(), scenario.clients().noticeUs());
@@ -315,7 +407,12 @@
 
     /** Plays it; the judge knows all there is to know. */
     public static Judge play(Scenario scenario, long seed) {
-        VirtualRun run = new VirtualRun(scenario, seed);
+        return play(scenario, seed, NodeParts.OWN);
+    }
+
+    /** Plays it with nodes made of other parts. */
+    public static Judge play(Scenario scenario, long seed, NodeParts parts) {
+        VirtualRun run = new VirtualRun(scenario, seed, parts);
         run.play();
         return run.judge;
     }
@@ -365,11 +462,10 @@
         clients.put(id, client);
         classes.put(id, cls);
         LinkState link = place.fromClients;
-        boolean cut = link.isDeaf();
         queue.after(Judge.patienceUs(deadlineUs) - queue.nowUs(), () -> {
             classes.remove(id);
             if (clients.remove(id, client)) {
-                judge.gaveUp(queue.nowUs(), id, cut || link.isDeaf() || wasCut(place, client));
+                judge.gaveUp(queue.nowUs(), id);
             }
         });
         if (!link.isCut(Direction.THERE)) {
@@ -380,11 +476,6 @@
     }
 
     private final Map<String, RequestClass> classes = new HashMap<>();
-    private final Map<Integer, Long> lastCutUs = new HashMap<>();
-
-    private boolean wasCut(NodePlace place, Client client) {
-        return lastCutUs.getOrDefault(place.number, -1L) >= client.deadlineUs - longestUs();
-    }
 
     private RequestClass classOf(String id) {
         return classes.getOrDefault(id, scenario.classes().get(0));
@@ -446,8 +537,7 @@
         if (fault.kind() == Kind.PAUSE) {
             place.pause(begins);
         } else if (!begins) {
-            place.kill();
-            queue.after(START_US, place::start);
+            place.startAgain();
         } else if (fault.kind() == Kind.KILL) {
             place.kill();
         } else {
@@ -502,12 +592,16 @@
     public void clientLink(int node, Fault fault, boolean begins) {
         NodePlace place = nodes.get(node);
         put(place.fromClients, fault, begins);
-        lastCutUs.put(node, queue.nowUs());
+        if (begins) {
+            place.linkExcuses.put(fault, judge.excuse(queue.nowUs(), node));
+        } else {
+            place.linkExcuses.remove(fault).end(Math.max(queue.nowUs(), place.fromClients.busyUntilUs()));
+        }
         if (fault.kind() == Kind.RESET && begins) {
             for (Client client : List.copyOf(clients.values())) {
                 if (client.node == node) {
                     clients.remove(client.id);
-                    judge.broken(queue.nowUs(), client.id, true, false);
+                    judge.broken(queue.nowUs(), client.id, false);
                     place.reach(client.life, () -> place.node.clientGone(client.number()));
                 }
             }
--- /dev/null
+++ b/rig/src/test/java/tansypass/rig/explore/PlantedFaultsTest.java
@@ -0,0 +1,243 @@
+package tansypass.rig.explore;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.lang.reflect.InvocationTargetException;
+import java.lang.reflect.Proxy;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+import cedarrelay.Balancer;
+import cedarrelay.Balancer.Actions;
+import cedarrelay.Balancer.Outcome;
+import cedarrelay.Balancer.Result;
+import cedarrelay.Balancer.ServerEntry;
+import cedarrelay.Balancer.ServerState;
+import cedarrelay.Balancer.Settings;
+import org.junit.jupiter.api.Test;
+import tansypass.rig.Worlds;
+import tansypass.rig.judge.Judge;
+import tansypass.rig.judge.Rule;
+import tansypass.rig.scenario.Scenario;
+import tansypass.rig.scenario.ScenarioToml;
+import tansypass.rig.virtual.NodeParts;
+import tansypass.rig.virtual.VirtualNetwork;
+import tansypass.rig.virtual.VirtualRun;
+
+/** For each rule a fault is planted that shows only under some other fault, and exploring has to find it. */
+class PlantedFaultsTest {
+    private static final int MOST = 400;
+    private static final long BUDGET_MS = 60_000;
+    private static final Scenario WORLD = Worlds.of(Worlds.SMALL);
+
+    private static Optional<Explorer.Found> explore(NodeParts parts, int most) throws InterruptedException {
+        return new Explorer(WORLD, (scenario, seed) -> VirtualRun.play(scenario, seed, parts))
+                .explore(1, BUDGET_MS, most, 2).found();
+    }
+
+    private static void finds(Rule rule, NodeParts planted) throws InterruptedException {
+        Explorer.Found found = explore(planted, MOST).orElseThrow(() -> new AssertionError("not found"));
+        assertEquals(rule, found.breach().rule(), found.toString());
+        assertTrue(found.smallest().faults().size() <= 2, found.toString());
+        // The file that is kept plays the same again, and the product's own parts keep the rules on it.
+        Scenario kept = Worlds.of(ScenarioToml.of(found.smallest()));
+        Judge again = VirtualRun.play(kept, found.seed(), planted);
+        assertTrue(again.breaches().contains(found.breach()), found + " is not in " + again.breaches());
+        assertEquals(List.of(), VirtualRun.play(kept, found.seed()).breaches());
+    }
+
+    /** A module whose calls go through this one first. */
+    private abstract static class Planted implements NodeParts {
+        @Override
+        public Balancer balancer(Settings settings, long seed, Actions actions) {
+            Balancer own = NodeParts.OWN.balancer(settings, seed, actions);
+            return (Balancer) Proxy.newProxyInstance(Balancer.class.getClassLoader(),
+                    new Class<?>[] {Balancer.class}, (proxy, method, arguments) -> {
+                        before(method.getName(), arguments, actions);
+                        try {
+                            return method.invoke(own, arguments);
+                        } catch (InvocationTargetException e) {
+                            throw e.getCause();
+                        }
+                    });
+        }
+
+        abstract void before(String method, Object[] arguments, Actions actions);
+    }
+
+    /** A network that passes everything on. */
+    private static class Passing implements VirtualNetwork {
+        private final VirtualNetwork to;
+
+        Passing(VirtualNetwork to) {
+            this.to = to;
+        }
+
+        @Override
+        public void connect(String server, Reply reply) {
+            to.connect(server, reply);
+        }
+
+        @Override
+        public Flight send(String server, long request, boolean fresh, Reply reply) {
+            return to.send(server, request, fresh, reply);
+        }
+
+        @Override
+        public void hangUp(String server) {
+            to.hangUp(server);
+        }
+
+        @Override
+        public void answer(long request, int status, String body) {
+            to.answer(request, status, body);
+        }
+
+        @Override
+        public void failed(RuntimeException fault) {
+            to.failed(fault);
+        }
+
+        @Override
+        public void log(String line) {
+            to.log(line);
+        }
+    }
+
+    /** Makes the network of each node; a plain NodeParts would need a class each. */
+    private interface Network extends NodeParts {
+        VirtualNetwork planted(VirtualNetwork network);
+
+        @Override
+        default VirtualNetwork network(VirtualNetwork network) {
+            return planted(network);
+        }
+    }
+
+    @Test
+    void theProductsOwnPartsKeepTheRules() throws InterruptedException {
+        Optional<Explorer.Found> found = explore(NodeParts.OWN, 60);
+        assertEquals(Optional.empty(), found);
+    }
+
+    @Test
+    void aLostAnswerAfterAReset() throws InterruptedException {
+        Network forgets = network -> new Passing(network) {
+            private final Set<Long> reset = new HashSet<>();
+
+            @Override
+            public Flight send(String server, long request, boolean fresh, Reply reply) {
+                return super.send(server, request, fresh, (result, status, body) -> {
+                    if (result == Result.RESET) {
+                        reset.add(request);
+                    }
+                    reply.done(result, status, body);
+                });
+            }
+
+            @Override
+            public void answer(long request, int status, String body) {
+                if (!reset.contains(request)) {
+                    super.answer(request, status, body);
+                }
+            }
+        };
+        finds(Rule.ANSWERED, forgets);
+    }
+
+    @Test
+    void anAnswerMadeUpAfterAnError() throws InterruptedException {
+        Network invents = network -> new Passing(network) {
+            @Override
+            public void answer(long request, int status, String body) {
+                super.answer(request, status == 502 ? 200 : status, body);
+            }
+        };
+        finds(Rule.INVENTED_ANSWER, invents);
+    }
+
+    @Test
+    void aRequestNobodySentWhenAConnectionFails() throws InterruptedException {
+        Network warms = network -> new Passing(network) {
+            @Override
+            public void connect(String server, Reply reply) {
+                super.connect(server, (result, status, body) -> {
+                    reply.done(result, status, body);
+                    if (result == Result.CONNECT_FAILED) {
+                        super.connect(server, (again, none, nothing) -> {
+                            if (again == Result.OK) {
+                                super.send(server, -1, true, (r, s, b) -> { });
+                            }
+                        });
+                    }
+                });
+            }
+        };
+        finds(Rule.INVENTED_REQUEST, warms);
+    }
+
+    @Test
+    void aConnectionLeftOpenWhenAnAttemptIsGivenUp() throws InterruptedException {
+        Network leaks = network -> new Passing(network) {
+            @Override
+            public Flight send(String server, long request, boolean fresh, Reply reply) {
+                super.send(server, request, fresh, reply);
+                return () -> { };
+            }
+        };
+        // Safe requests come again beside the copy that is still out, which is the first that is seen.
+        Explorer.Found found = explore(leaks, MOST).orElseThrow();
+        assertTrue(Set.of(Rule.LEAKED, Rule.REPEATED).contains(found.breach().rule()), found.toString());
+        List<Rule> all = new ArrayList<>();
+        VirtualRun.play(found.smallest(), found.seed(), leaks).breaches().forEach(b -> all.add(b.rule()));
+        assertTrue(all.contains(Rule.LEAKED) || all.contains(Rule.REPEATED), all.toString());
+    }
+
+    @Test
+    void anUnsafeRequestSentAgainAfterATimeOut() throws InterruptedException {
+        finds(Rule.REPEATED, new Planted() {
+            @Override
+            void before(String method, Object[] arguments, Actions actions) {
+                if (method.equals("onOutcome")) {
+                    Outcome outcome = (Outcome) arguments[1];
+                    if (outcome.result() == Result.TIMEOUT && outcome.attempt() == 0) {
+                        actions.send(outcome.requestId(), "server-0", 0);
+                        actions.send(outcome.requestId(), "server-3", 0);
+                    }
+                }
+            }
+        });
+    }
+
+    @Test
+    void aServerThatLeavesTakenForReady() throws InterruptedException {
+        finds(Rule.DRAINING, new Planted() {
+            @Override
+            void before(String method, Object[] arguments, Actions actions) {
+                if (method.equals("onServers")) {
+                    @SuppressWarnings("unchecked")
+                    List<ServerEntry> entries = (List<ServerEntry>) arguments[2];
+                    arguments[2] = entries.stream().map(e -> new ServerEntry(e.id(), e.zone(), e.cell(),
+                            ServerState.READY, e.weight(), e.startedAtUs())).toList();
+                }
+            }
+        });
+    }
+
+    @Test
+    void aModuleThatFailsOnAColdServer() throws InterruptedException {
+        finds(Rule.DIED, new Planted() {
+            @Override
+            void before(String method, Object[] arguments, Actions actions) {
+                if (method.equals("onServers") && ((List<?>) arguments[2]).stream()
+                        .anyMatch(e -> ((ServerEntry) e).startedAtUs() > 0)) {
+                    throw new IllegalStateException("planted");
+                }
+            }
+        });
+    }
+}
--- a/rig/src/test/java/tansypass/rig/judge/JudgeTest.java
+++ b/rig/src/test/java/tansypass/rig/judge/JudgeTest.java
@@ -138,7 +138,7 @@
         judge.answered(TIME + 551 * MS, "y", 504, "");
         broken(Rule.ANSWERED);
         judge.sent(0, "z", safe, 0, 0, TIME);
-        judge.broken(MS, "z", false, false);
+        judge.broken(MS, "z", false);
         broken(Rule.ANSWERED, Rule.ANSWERED);
         judge.sent(0, "w", safe, 0, 0, TIME);
         judge.finish(9_000 * MS);
@@ -148,13 +148,14 @@
     @Test
     void aKilledOrPausedNodeOwesNothingForThatTime() {
         sent(safe);
-        judge.broken(MS, "x", true, false);
-        judge.paused(0, 0, 3_000 * MS);
+        judge.excuse(MS, 0).end(MS);
+        judge.broken(MS, "x", false);
+        judge.excuse(2 * MS, 0).end(3_000 * MS);
         judge.sent(0, "y", safe, 0, 0, TIME);
         judge.answered(3_010 * MS, "y", 504, "");
         broken();
         judge.sent(9_000 * MS, "z", safe, 0, 9_000 * MS, 9_400 * MS);
-        judge.gaveUp(10_000 * MS, "z", false);
+        judge.gaveUp(10_000 * MS, "z");
         broken(Rule.ANSWERED);
     }
 
@@ -164,13 +165,13 @@
             judge.notSent(0, 0);
         }
         sent(safe);
-        judge.broken(MS, "x", false, true);
+        judge.broken(MS, "x", true);
         judge.finish(9_000 * MS);
         broken();
         judge.sent(0, "y", safe, 0, 0, TIME);
-        judge.broken(MS, "y", false, true);
+        judge.broken(MS, "y", true);
         judge.sent(0, "z", safe, 0, 0, TIME);
-        judge.broken(MS, "z", false, true);
+        judge.broken(MS, "z", true);
         judge.finish(9_000 * MS);
         broken(Rule.ANSWERED);
     }
