--- /dev/null
+++ b/cli/src/main/java/tansypass/cli/DemoCommand.java
@@ -0,0 +1,70 @@
+package tansypass.cli;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.PrintWriter;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Callable;
+
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Spec;
+import tansypass.rig.judge.Judge;
+import tansypass.rig.judge.Tally.End;
+import tansypass.rig.report.Report;
+import tansypass.rig.scenario.Scenario;
+import tansypass.rig.scenario.ScenarioFile;
+
+/** A small world to look at. */
+@Command(name = "demo", mixinStandardHelpOptions = true,
+        description = "Run four nodes, twelve servers and load on loopback for half a minute, kill a node and"
+            + " cut links, and show each second as it goes.")
+final class DemoCommand implements Callable<Integer> {
+    private static final String ROW = "%4s  %-5s %8s %8s %8s %8s %8s %8s %7s%n";
+
+    @Option(names = "--seed", defaultValue = "1", description = "of all that is drawn; default 1")
+    private long seed;
+    @Spec
+    private CommandSpec spec;
+
+    @Override
+    public Integer call() throws IOException, InterruptedException {
+        Scenario scenario = ScenarioFile.parse(text(), "demo.toml");
+        PrintWriter out = spec.commandLine().getOut();
+        out.println(scenario.nodes().count() + " nodes, " + scenario.servers().count() + " servers, "
+                + scenario.clients().rate() + " requests a second; faults:");
+        scenario.faults().forEach(fault -> out.println("  " + fault));
+        out.printf(ROW, "s", "nodes", "served", "late", "refused", "failed", "no time", "no way", "broken");
+        out.flush();
+        Judge judge = Plays.real(scenario, seed, null, (second, ends, nodes, broken) -> {
+            row(out, second, ends, nodes, broken);
+            out.flush();
+        }, out);
+        Report report = Report.of(scenario, seed, "./tansypass rig demo --seed " + seed, judge);
+        out.print(report.text());
+        out.flush();
+        return report.isSound() ? Exit.OK : Exit.NO;
+    }
+
+    private static void row(PrintWriter out, long second, Map<End, Long> ends, List<Boolean> nodes,
+            int broken) {
+        StringBuilder up = new StringBuilder();
+        nodes.forEach(node -> up.append(node ? '+' : '-'));
+        out.printf(ROW, second, up, count(ends, End.SERVED), count(ends, End.LATE), count(ends, End.REFUSED),
+                count(ends, End.FAILED), count(ends, End.TIMED_OUT),
+                count(ends, End.UNREACHABLE) + count(ends, End.NOT_SENT), broken);
+    }
+
+    private static long count(Map<End, Long> ends, End end) {
+        return ends.getOrDefault(end, 0L);
+    }
+
+    private static String text() throws IOException {
+        try (InputStream file = DemoCommand.class.getResourceAsStream("demo.toml")) {
+            return new String(file.readAllBytes(), StandardCharsets.UTF_8);
+        }
+    }
+}
--- a/cli/src/main/java/tansypass/cli/Logs.java
+++ b/cli/src/main/java/tansypass/cli/Logs.java
@@ -25,7 +25,7 @@
     /** Time, level, thread, logger, message, then the fields; nothing in a line can begin another one. */
     private static final String LINE = "%d{yyyy-MM-dd'T'HH:mm:ss.SSSXXX,UTC} %-5level [%thread] %logger{0}:"
             + " %replace(%msg){'\\p{Cntrl}', '?'} %replace(%kvp){'\\p{Cntrl}', '?'}"
-            + "%replace(%ex){'[\\r\\n\\t]+', ' | '}%nopex%n";
+            + "%replace(%replace(%ex){'[\\r\\n\\t]+', ' | '}){'\\p{Cntrl}', '?'}%nopex%n";
     private static final AtomicLong DROPPED = new AtomicLong();
 
     private Logs() { }
--- /dev/null
+++ b/cli/src/main/java/tansypass/cli/Membership.java
@@ -0,0 +1,62 @@
+package tansypass.cli;
+
+import java.io.IOException;
+import java.security.SecureRandom;
+import java.util.Locale;
+
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.slf4j.spi.LoggingEventBuilder;
+import tansypass.config.NodeFile;
+import tansypass.fleet.membership.Codec;
+import tansypass.fleet.membership.Identity;
+import tansypass.fleet.membership.Member;
+import tansypass.fleet.membership.MembershipSettings;
+import tansypass.fleet.membership.Role;
+import tansypass.fleet.net.FleetMember;
+
+/** This node's part in its fleet. Whatever becomes of it, the node serves. */
+final class Membership {
+    private static final Logger LOG = LoggerFactory.getLogger(Membership.class);
+
+    private Membership() { }
+
+    /** Begins to join; null if the node is no member, or its address can't be had. */
+    static FleetMember begin(NodeFile file) {
+        if (file.fleet() == null) {
+            return null;
+        }
+        SecureRandom random = new SecureRandom();
+        MembershipSettings usual = MembershipSettings.DEFAULT;
+        Identity self = new Identity(file.name(), System.currentTimeMillis(), random.nextLong(), file.zone(),
+                Role.NODE, file.fleet().listen(), file.fleet().deployment(), Codec.VERSION, Codec.VERSION);
+        FleetMember member = new FleetMember(new MembershipSettings(file.fleet().periodUs(),
+                file.fleet().probeUs(), usual.helpers(),
+                file.fleet().periodUs() / 5, usual.gossipPeers(), usual.suspicion(), usual.patience(),
+                usual.spread(),
+                usual.exchangeUs(), usual.reconnectUs(), usual.forgetUs(), usual.most()), self,
+                file.fleet().seeds(), random.nextLong(), Membership::changed);
+        try {
+            member.start();
+        } catch (IOException e) {
+            LOG.atError().addKeyValue("event", "fleet.closed").log("no member of the fleet: {}",
+                    e.getMessage());
+            member.close();
+            return null;
+        }
+        // Others are told as soon as the node begins to leave; its last answers take longer than that.
+        Runtime.getRuntime().addShutdownHook(new Thread(member::leave, "leave"));
+        return member;
+    }
+
+    private static void changed(Member before, Member after) {
+        Member shown = after == null ? before : after;
+        String state = after == null ? "forgotten" : after.state().name().toLowerCase(Locale.ROOT);
+        boolean quiet = after != null && before != null && after.state() == before.state();
+        LoggingEventBuilder line = quiet ? LOG.atDebug() : LOG.atInfo();
+        line.addKeyValue("event", "member." + state).addKeyValue("member", shown.identity().name())
+                .addKeyValue("generation", shown.identity().generation())
+                .addKeyValue("incarnation", shown.incarnation()).addKeyValue("zone", shown.identity().zone())
+                .addKeyValue("by", shown.by()).log("{} is {}", shown.identity().name(), state);
+    }
+}
--- a/cli/src/main/java/tansypass/cli/MetricsPage.java
+++ b/cli/src/main/java/tansypass/cli/MetricsPage.java
@@ -16,6 +16,8 @@
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
 import io.prometheus.metrics.instrumentation.jvm.JvmMetrics;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import tansypass.fleet.membership.Role;
+import tansypass.fleet.net.FleetMember;
 
 /**
  * The page {@code /metrics}: the node's figures as {@code /_vars} has them, the log's drops and the Java
@@ -28,7 +30,8 @@
     private final PrometheusRegistry registry = new PrometheusRegistry();
     private Map<String, Long> figures = Map.of();
 
-    MetricsPage() {
+    /** {@code member} may be null, of a node that is no member of a fleet. */
+    MetricsPage(FleetMember member) {
         CounterWithCallback.builder().name("tansypass_requests_total").labelNames("class", "outcome")
                 .help("Requests answered, by class and outcome.").callback(all -> each((name, value) -> {
                     Matcher request = REQUESTS.matcher(name);
@@ -46,6 +49,22 @@
         gauge("web_servers_known", "Web servers in the list.");
         gauge("web_servers_excluded", "Listed web servers that the node avoids now.");
         JvmMetrics.builder().register(registry);
+        if (member != null) {
+            fleet(member);
+        }
+    }
+
+    private void fleet(FleetMember member) {
+        CounterWithCallback.builder().name("tansypass_membership_events_total").labelNames("event")
+                .help("What the membership has counted.").callback(all ->
+                        member.counts().forEach((name, count) -> all.call(count, name))).register(registry);
+        GaugeWithCallback.builder().name("tansypass_members_present").labelNames("zone")
+                .help("Nodes that this process holds to be present.").callback(all -> {
+                    if (member.view() != null) {
+                        member.view().presentByZone(Role.NODE)
+                                .forEach((zone, present) -> all.call(present, zone));
+                    }
+                }).register(registry);
     }
 
     private void gauge(String figure, String help) {
--- a/cli/src/main/java/tansypass/cli/NodeCommand.java
+++ b/cli/src/main/java/tansypass/cli/NodeCommand.java
@@ -10,6 +10,7 @@
 import picocli.CommandLine.Spec;
 import tansypass.config.FaultyFileException;
 import tansypass.config.NodeFile;
+import tansypass.fleet.net.FleetMember;
 
 /** Serves as one node until SIGTERM. */
 @Command(name = "node", mixinStandardHelpOptions = true,
@@ -36,7 +37,8 @@
             endWithParent();
         }
         Reload reload = new Reload(file, System.getenv(), first);
-        cedarrelay.node.Main.serve(() -> PlatformJson.of(reload.next()), new MetricsPage());
+        FleetMember member = Membership.begin(first);
+        cedarrelay.node.Main.serve(() -> PlatformJson.of(reload.next()), new MetricsPage(member));
         return Exit.GOES_ON;
     }
 
--- a/cli/src/main/java/tansypass/cli/RigCommand.java
+++ b/cli/src/main/java/tansypass/cli/RigCommand.java
@@ -5,7 +5,6 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
-import java.util.stream.Stream;
 
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
@@ -14,8 +13,7 @@
 import picocli.CommandLine.Parameters;
 import picocli.CommandLine.Spec;
 import tansypass.config.FaultyFileException;
-import tansypass.rig.judge.Judge;
-import tansypass.rig.real.RealRun;
+import tansypass.rig.real.Progress;
 import tansypass.rig.report.Report;
 import tansypass.rig.scenario.Scenario;
 import tansypass.rig.scenario.ScenarioFile;
@@ -66,7 +64,7 @@
                     : "");
             long startNs = System.nanoTime();
             Report report = Report.of(scenario, seed, command, virtual ? VirtualRun.play(scenario, seed)
-                    : playReal(scenario, out));
+                    : Plays.real(scenario, seed, keep, Progress.NONE, out));
             out.print(report.text());
             out.printf("took %.2f s%n", (System.nanoTime() - startNs) / 1e9);
             out.flush();
@@ -75,30 +73,5 @@
             }
             return report.isSound() ? Exit.OK : Exit.NO;
         }
-
-        private Judge playReal(Scenario scenario, PrintWriter out) throws IOException, InterruptedException {
-            Path folder = keep == null ? Files.createTempDirectory("tansypass-rig")
-                    : Files.createDirectories(keep);
-            Judge judge = null;
-            try {
-                judge = RealRun.play(scenario, seed, Self.command("node", "--with-parent"), folder);
-                return judge;
-            } finally {
-                if (keep == null && judge != null && judge.broken() == 0) {
-                    delete(folder);
-                } else {
-                    out.println("files and logs of the nodes: " + folder);
-                }
-            }
-        }
-
-        private static void delete(Path folder) throws IOException {
-            try (Stream<Path> files = Files.list(folder)) {
-                for (Path file : files.toList()) {
-                    Files.delete(file);
-                }
-            }
-            Files.delete(folder);
-        }
     }
 }
--- a/cli/src/main/java/tansypass/cli/Tansypass.java
+++ b/cli/src/main/java/tansypass/cli/Tansypass.java
@@ -13,6 +13,7 @@
         exitCodeList = {"0:done", "1:it could not be done", "2:unusable command line or file",
             "3:done, and the answer is no"},
         subcommands = {NodeCommand.class, CheckCommand.class, StatusCommand.class, DrainCommand.class,
+        WatchCommand.class, MembersCommand.class,
         RigCommand.class,
             HelpCommand.class})
 final class Tansypass implements Runnable {
--- /dev/null
+++ b/cli/src/test/java/tansypass/cli/AdminCommandsTest.java
@@ -0,0 +1,90 @@
+package tansypass.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+import com.sun.net.httpserver.HttpServer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import picocli.CommandLine;
+
+/** The commands that call a node, against something that answers as one. */
+@Timeout(60)
+class AdminCommandsTest {
+    private static final String VARS = "node.requests.a.served=12\nnode.requests.b.served=3\n"
+            + "node.requests.a.refused=1\nnode.requests.a.failed=0\nnode.attempts=17\nnode.in_flight=4\n"
+            + "node.web_servers_known=9\nnode.web_servers_excluded=2\n";
+
+    private final StringWriter out = new StringWriter();
+    private final StringWriter err = new StringWriter();
+    private final List<String> calls = new CopyOnWriteArrayList<>();
+    private HttpServer node;
+    private String address;
+    private volatile int ready = 200;
+
+    @BeforeEach
+    void open() throws IOException {
+        node = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
+        node.createContext("/", exchange -> {
+            calls.add(exchange.getRequestMethod() + " " + exchange.getRequestURI());
+            boolean vars = exchange.getRequestURI().getPath().equals("/_vars");
+            byte[] body = (vars ? VARS : ready == 200 ? "TAKING\n" : "LAME_DUCK\n")
+                    .getBytes(StandardCharsets.US_ASCII);
+            exchange.sendResponseHeaders(vars ? 200 : ready, body.length);
+            exchange.getResponseBody().write(body);
+            exchange.close();
+        });
+        node.start();
+        address = "127.0.0.1:" + node.getAddress().getPort();
+    }
+
+    @AfterEach
+    void close() {
+        node.stop(0);
+    }
+
+    private int run(String... args) {
+        CommandLine line = Main.commandLine();
+        line.setOut(new PrintWriter(out)).setErr(new PrintWriter(err));
+        return line.execute(args);
+    }
+
+    @Test
+    void statusSaysTheStateAndTheFigures() {
+        assertEquals(Exit.OK, run("status", address));
+        assertEquals("state=TAKING\n" + VARS, out.toString());
+        ready = 503;
+        assertEquals(Exit.NO, run("status", address));
+    }
+
+    @Test
+    void drainTellsTheNode() {
+        assertEquals(Exit.OK, run("drain", "on", address));
+        assertEquals(Exit.OK, run("drain", "off", address));
+        ready = 409;
+        assertEquals(Exit.NO, run("drain", "OFF", address));
+        assertEquals(List.of("POST /_lameduck/on", "POST /_lameduck/off", "POST /_lameduck/off"), calls);
+    }
+
+    @Test
+    void watchShowsARowANodeAndGoesOnWhereOneIsAway() {
+        assertEquals(Exit.OK, run("watch", "--count", "2", "--every", "0", address, "127.0.0.1:1"));
+        List<String> rows = out.toString().lines().map(row -> row.trim().replaceAll(" +", " ")).toList();
+        assertEquals(6, rows.size(), out.toString());
+        assertEquals(address + " TAKING 15 1 0 17 4 7/9", rows.get(1));
+        assertTrue(rows.get(2).startsWith("127.0.0.1:1 no answer"), rows.get(2));
+        assertEquals(address + " TAKING 0 0 0 0 4 7/9", rows.get(4), "since the last look");
+        assertEquals(Exit.FAILED, run("watch", "--count", "1", "127.0.0.1:1"));
+    }
+}
--- /dev/null
+++ b/cli/src/test/java/tansypass/cli/MembersTest.java
@@ -0,0 +1,125 @@
+package tansypass.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import picocli.CommandLine;
+
+/** Membership among real processes of the program. */
+@Timeout(120)
+class MembersTest {
+    private static final int COUNT = 4;
+    /** Addresses of this test process's own. */
+    private static final String NETWORK = "127.200." + ProcessHandle.current().pid() / 250 % 250 + "."
+            + (ProcessHandle.current().pid() % 250 + 1);
+
+    @TempDir
+    private Path folder;
+    private final List<Process> processes = new ArrayList<>();
+
+    private static String address(int node) {
+        return NETWORK + ":" + (7_000 + node);
+    }
+
+    private void start(int node) throws IOException {
+        Path file = folder.resolve("n" + node + ".toml");
+        Files.writeString(file, """
+                [node]
+                name = "n%d"
+                listen = "%s:%d"
+                [[servers]]
+                uid = "s"
+                endpoint = "127.0.0.1:1"
+                [[classes]]
+                name = "search"
+                aim = "200ms"
+                deadline = "400ms"
+                [fleet]
+                listen = "%s"
+                deployment = "test"
+                seeds = ["%s", "%s"]
+                period = "200ms"
+                """.formatted(node, NETWORK, 8_000 + node, address(node), address(0), address(1)));
+        List<String> command = new ArrayList<>(Self.command("node", "--with-parent", file.toString()));
+        Process process = new ProcessBuilder(command).redirectErrorStream(true)
+                .redirectOutput(folder.resolve("n" + node + ".log").toFile()).start();
+        if (node < processes.size()) {
+            processes.set(node, process);
+        } else {
+            processes.add(process);
+        }
+    }
+
+    @AfterEach
+    void end() throws InterruptedException {
+        for (Process process : processes) {
+            process.destroyForcibly().waitFor();
+        }
+    }
+
+    private static String members(int node, String... more) {
+        StringWriter out = new StringWriter();
+        List<String> arguments = new ArrayList<>(List.of("members", address(node)));
+        arguments.addAll(List.of(more));
+        CommandLine line = Main.commandLine();
+        line.setOut(new PrintWriter(out)).setErr(new PrintWriter(new StringWriter()));
+        int code = line.execute(arguments.toArray(new String[0]));
+        return code + "\n" + out;
+    }
+
+    /** Asks again until the answer holds all of these. */
+    private String await(int node, List<String> wanted, String... more) throws Exception {
+        long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(60);
+        String said = members(node, more);
+        while (!wanted.stream().allMatch(said::contains)) {
+            assertTrue(System.nanoTime() < until, "never " + wanted + " but " + said
+                    + Files.readString(folder.resolve("n" + node + ".log")));
+            processes.get(node).waitFor(50, TimeUnit.MILLISECONDS);
+            said = members(node, more);
+        }
+        return said;
+    }
+
+    private static String line(int node, String state) {
+        return "n%-15d %-9s".formatted(node, state);
+    }
+
+    @Test
+    void processesFindEachOtherSeeADeathALeaveAndARestart() throws Exception {
+        for (int i = 0; i < COUNT; i++) {
+            start(i);
+        }
+        for (int i = 0; i < COUNT; i++) {
+            await(i, List.of(line(0, "alive"), line(1, "alive"), line(2, "alive"), line(3, "alive")));
+        }
+        String all = await(0, List.of("4 asked, 0 members disagreed about, 0 silent"), "--all");
+        assertTrue(all.startsWith(Exit.OK + "\n"), all);
+        processes.get(3).destroyForcibly().waitFor();
+        for (int i = 0; i < 3; i++) {
+            await(i, List.of(line(3, "failed")));
+        }
+        start(3);
+        for (int i = 0; i < COUNT; i++) {
+            await(i, List.of(line(3, "alive")));
+        }
+        assertEquals(0, new ProcessBuilder("kill", "-TERM", Long.toString(processes.get(2).pid())).start()
+                .waitFor());
+        assertEquals(0, processes.get(2).waitFor());
+        for (int i : new int[] {0, 1, 3}) {
+            await(i, List.of(line(2, "left")));
+        }
+    }
+}
--- a/cli/src/test/java/tansypass/cli/MetricsPageTest.java
+++ b/cli/src/test/java/tansypass/cli/MetricsPageTest.java
@@ -9,7 +9,7 @@
 class MetricsPageTest {
     @Test
     void theFiguresOfVarsStandThereWithTheirLabels() {
-        MetricsPage metrics = new MetricsPage();
+        MetricsPage metrics = new MetricsPage(null);
         metrics.apply("node.attempts=1\n");
         String page = metrics.apply("node.requests.pitch-detail.served=812\n"
                 + "node.requests.pitch-detail.refused=3\nnode.attempts=900\nnode.in_flight=14\n");
--- a/cli/src/test/java/tansypass/cli/RealRunTest.java
+++ b/cli/src/test/java/tansypass/cli/RealRunTest.java
@@ -16,6 +16,7 @@
 import org.junit.jupiter.api.io.TempDir;
 import tansypass.rig.judge.Judge;
 import tansypass.rig.judge.Tally.End;
+import tansypass.rig.real.Progress;
 import tansypass.rig.real.RealRun;
 import tansypass.rig.scenario.Scenario;
 import tansypass.rig.scenario.ScenarioFile;
@@ -67,7 +68,7 @@
     @Test
     void aKilledNodeACutLinkAndAKilledServerBreakNoRule() throws Exception {
         Scenario scenario = ScenarioFile.read(file(WORLD + FAULTS).toString());
-        Judge judge = RealRun.play(scenario, 7, Self.command("node", "--with-parent"), folder);
+        Judge judge = RealRun.play(scenario, 7, Self.command("node", "--with-parent"), folder, Progress.NONE);
         assertEquals(List.of(), judge.breaches());
         assertTrue(judge.tally().count(End.SERVED) > judge.tally().offered() / 2,
                 () -> judge.tally().seconds().toString());
@@ -78,7 +79,7 @@
     void aNodeThatCannotStartIsSaidWithItsReason() throws Exception {
         Scenario scenario = ScenarioFile.read(file(WORLD).toString());
         IOException refused = assertThrows(IOException.class, () -> RealRun.play(scenario, 7,
-                Self.command("node", "--with-parent", "--no-such-option"), folder));
+                Self.command("node", "--with-parent", "--no-such-option"), folder, Progress.NONE));
         assertTrue(refused.getMessage().contains("ended with code 2"), refused.getMessage());
     }
 
@@ -86,7 +87,7 @@
     void moreProcessesThanFitAreRefusedBeforeAnythingStarts() throws Exception {
         Scenario scenario = ScenarioFile.read(file(WORLD.replace("count = 3", "count = 2000")).toString());
         IllegalArgumentException refused = assertThrows(IllegalArgumentException.class,
-                () -> RealRun.play(scenario, 7, List.of("nothing"), folder));
+                () -> RealRun.play(scenario, 7, List.of("nothing"), folder, Progress.NONE));
         assertTrue(refused.getMessage().matches("2000 nodes wanted, [0-9]+ fit: .*"), refused.getMessage());
     }
 
--- /dev/null
+++ b/cli/src/test/java/tansypass/cli/ScenariosTest.java
@@ -0,0 +1,64 @@
+package tansypass.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Optional;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import tansypass.rig.explore.Explorer;
+import tansypass.rig.judge.Judge;
+import tansypass.rig.judge.Tally.End;
+import tansypass.rig.real.Progress;
+import tansypass.rig.real.RealRun;
+import tansypass.rig.scenario.Scenario;
+import tansypass.rig.scenario.ScenarioFile;
+import tansypass.rig.virtual.VirtualRun;
+
+/** The scenarios that the project ships. */
+@Timeout(180)
+class ScenariosTest {
+    private static final Path FOLDER = Path.of("..", "scenarios");
+    private static final long BUDGET_MS = 15_000;
+    private static final int MOST = 1_500;
+
+    @TempDir
+    private Path folder;
+
+    private static Scenario scenario(String name) {
+        return ScenarioFile.read(FOLDER.resolve(name + ".toml").toString());
+    }
+
+    private static double served(Judge judge) {
+        return (double) judge.tally().count(End.SERVED) / judge.tally().offered();
+    }
+
+    @ParameterizedTest
+    @CsvSource({"calm,0.95", "rolling,0.98", "links,0.8"})
+    void keepsTheRulesOnRealProcesses(String name, double least) throws Exception {
+        Judge judge = RealRun.play(scenario(name), 7, Self.command("node", "--with-parent"), folder,
+                Progress.NONE);
+        assertEquals(List.of(), judge.breaches());
+        assertTrue(served(judge) >= least, () -> "served " + served(judge));
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"calm", "rolling", "links", "servers"})
+    void keepsTheRulesUnderDrawnFaults(String name) throws Exception {
+        Optional<Explorer.Found> found = new Explorer(scenario(name), VirtualRun::play)
+                .explore(1, BUDGET_MS, MOST, Runtime.getRuntime().availableProcessors()).found();
+        assertEquals(Optional.empty(), found);
+    }
+
+    @Test
+    void theAnnotatedOneHasNoFaultOfForm() {
+        assertEquals(3, scenario("annotated").faults().size());
+    }
+}
--- a/config/src/main/java/tansypass/config/NodeFile.java
+++ b/config/src/main/java/tansypass/config/NodeFile.java
@@ -13,10 +13,11 @@
  * @param admin where operators call, or null if nowhere
  * @param seed of its random numbers, hexadecimal; empty for a fresh one at each start
  * @param discovery where the list of servers is told, or null for the list in the file
+ * @param fleet how it is a member of a fleet, or null if it is none
  */
 public record NodeFile(String name, InetSocketAddress listen, InetSocketAddress admin, String zone,
         int sockets, String seed, InetSocketAddress discovery, List<ServerLine> servers, Service service,
-        LogSettings log) {
+        LogSettings log, Fleet fleet) {
 
     /** Names go into paths, figures and headers. */
     public static final String NAME = "[A-Za-z0-9][A-Za-z0-9_.-]{0,63}";
@@ -57,6 +58,15 @@
     /** The log. */
     public record LogSettings(LogFormat format, LogLevel level, int queue) { }
 
+    /**
+     * Membership in a fleet; lengths of time in microseconds.
+     *
+     * @param listen where it takes datagrams and whole views
+     * @param seeds to join through
+     */
+    public record Fleet(InetSocketAddress listen, String deployment, List<InetSocketAddress> seeds,
+            long periodUs, long probeUs) { }
+
     /** Throws FaultyFileException with all that is wrong. */
     public static NodeFile read(String file, Map<String, String> environment) {
         return TomlFile.read(file, environment, NodeFile::of);
@@ -73,7 +83,7 @@
                 node.text("seed", "[0-9a-f]{0,16}", "up to 16 hexadecimal digits", ""),
                 discovery.address("address", false),
                 root.tables("servers").stream().map(s -> server(s, service)).toList(), service,
-                log(root.table("log")));
+                log(root.table("log")), root.has("fleet") ? fleet(root.table("fleet")) : null);
         if (node.isSound() && !service.zones.contains(made.zone)) {
             node.fault("zone", "\"" + made.zone + "\" is not among service.zones");
         }
@@ -84,6 +94,16 @@
         return made;
     }
 
+    private static Fleet fleet(Section fleet) {
+        long periodUs = fleet.span("period", 10_000, 60_000_000, 1_000_000);
+        long probeUs = fleet.span("probe", 1_000, 60_000_000, periodUs * 3 / 10);
+        if (fleet.isSound() && probeUs >= periodUs) {
+            fleet.fault("probe", "is not shorter than the period");
+        }
+        return new Fleet(fleet.address("listen", true), fleet.text("deployment", NAME, NAME_ALLOWED),
+                fleet.addresses("seeds"), periodUs, probeUs);
+    }
+
     private static LogSettings log(Section log) {
         return new LogSettings(log.oneOf("format", LogFormat.class, LogFormat.TEXT),
                 log.oneOf("level", LogLevel.class, LogLevel.INFO),
--- a/config/src/main/java/tansypass/config/Section.java
+++ b/config/src/main/java/tansypass/config/Section.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import java.util.function.Function;
 import java.util.regex.Matcher;
@@ -154,6 +155,16 @@
         return new InetSocketAddress(parts.group(1), Integer.parseInt(parts.group(2)));
     }
 
+    /** A list of numeric IPv4 addresses with ports; empty if missing. */
+    public List<InetSocketAddress> addresses(String key) {
+        return read(key, List.of(), "a list of addresses and ports, such as [\"127.0.0.1:7946\"]", v -> {
+            List<Object> items = v instanceof TomlArray array ? array.toList() : List.of(0);
+            List<InetSocketAddress> addresses = items.stream().map(Section::address).filter(Objects::nonNull)
+                    .toList();
+            return addresses.size() == items.size() ? addresses : null;
+        }, List.of());
+    }
+
     /** A list of texts; empty if missing. */
     public List<String> texts(String key, String pattern, String allowed) {
         return read(key, List.of(), "a list of texts, each " + allowed, v -> {
--- a/config/src/main/java/tansypass/config/TomlFile.java
+++ b/config/src/main/java/tansypass/config/TomlFile.java
@@ -30,8 +30,13 @@
      * @throws FaultyFileException with every fault that was found
      */
     public static <T> T read(String file, Map<String, String> environment, Function<Section, T> model) {
+        return parse(text(file, new ArrayList<>()), file, environment, model);
+    }
+
+    /** Reads a text; {@code file} is what faults name. */
+    public static <T> T parse(String text, String file, Map<String, String> environment,
+            Function<Section, T> model) {
         List<Fault> faults = new ArrayList<>();
-        String text = text(file, faults);
         TomlParseResult toml = Toml.parse(text);
         for (TomlParseError error : toml.errors()) {
             faults.add(new Fault(file, error.position().line(), "", error.getMessage()));
--- /dev/null
+++ b/fleet/src/main/java/tansypass/fleet/membership/Network.java
@@ -0,0 +1,14 @@
+package tansypass.fleet.membership;
+
+import java.net.InetSocketAddress;
+import java.util.function.Consumer;
+
+/** How a process reaches others. Calls never block, and what comes back comes on the process's own loop. */
+public interface Network {
+
+    /** A datagram that may get lost. */
+    void send(InetSocketAddress to, byte[] datagram);
+
+    /** Gives a whole view to another and gets its own; null if that can't be had in time. */
+    void exchange(InetSocketAddress to, byte[] body, Consumer<byte[]> answer);
+}
--- /dev/null
+++ b/fleet/src/main/java/tansypass/fleet/membership/Swim.java
@@ -0,0 +1,577 @@
+package tansypass.fleet.membership;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.BiConsumer;
+
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.sampling.ListSampler;
+import tansypass.fleet.env.Scheduler;
+import tansypass.fleet.membership.Counters.Name;
+import tansypass.fleet.membership.Message.Envelope;
+
+/**
+ * One process's part in the membership: SWIM (Das, Gupta, Motivala, "SWIM: Scalable Weakly-consistent
+ * Infection-style Process Group Membership Protocol", 2002) with Lifeguard (Dadgar, Phillips, Currey,
+ * "Lifeguard: Local Health Awareness for More Accurate Failure Detection", 2017). Single-threaded: all calls
+ * come from the loop of its {@link Scheduler}. It never blocks and keeps a bounded memory, whatever comes.
+ */
+public final class Swim {
+    /** Probes made for others at once; past it a request is dropped, and the asker counts a nack less. */
+    private static final int MOST_ERRANDS = 64;
+    /** Strangers asked who they are, at once. */
+    private static final int MOST_MET = 4;
+    /** What a datagram has besides its news. */
+    private static final int HEAD_BYTES = 300;
+    /** A helper says nack after this share of the time that a probe has (Lifeguard, section IV A). */
+    private static final double NACK_AFTER = 0.8;
+    private static final long JOIN_AGAIN_US = 1_000_000;
+    private static final long JOIN_AGAIN_MOST_US = 30_000_000;
+    /** How many peers a process that leaves tells itself; the rest hear it from them. */
+    private static final int TOLD_OF_LEAVING = 8;
+
+    private final MembershipSettings settings;
+    private final Scheduler scheduler;
+    private final UniformRandomProvider random;
+    private final Network network;
+    private final Codec codec = new Codec();
+    private final Counters counters = new Counters();
+    private final List<InetSocketAddress> seeds;
+    private final MemberTable table;
+    private final NewsQueue news;
+    private final LocalHealth health = new LocalHealth();
+    private final ProbeOrder order;
+    private final Map<String, Suspicion> suspicions = new HashMap<>();
+    private final Map<String, Scheduler.Timer> forgetting = new HashMap<>();
+    private final Map<Long, Probe> probes = new LinkedHashMap<>();
+    private final BiConsumer<Member, Member> onChange;
+    private Identity self;
+    private long incarnation;
+    private long lastNumber;
+    private int joinTries;
+    private int exchangesOpen;
+    private boolean joined;
+    /** A later life of this name that is or may be there. */
+    private Identity twin;
+    /** It is there: this process takes no part until it is gone. */
+    private boolean outside;
+    private boolean over;
+
+    /** A ping on its way, for this process or for another that asked. */
+    private final class Probe {
+        private final Runnable onAck;
+        private final Set<String> nacksOwed = new LinkedHashSet<>();
+
+        Probe(Runnable onAck) {
+            this.onAck = onAck;
+        }
+    }
+
+    /**
+     * A process that has met nobody yet.
+     *
+     * @param seeds addresses to join through, its own maybe among them; not used for anything else
+     * @param onChange is told of each change of the view: what was, or null, and what is, or null if
+     *     forgotten
+     */
+    public Swim(MembershipSettings settings, Identity self, List<InetSocketAddress> seeds,
+            Scheduler scheduler,
+            UniformRandomProvider random, Network network, BiConsumer<Member, Member> onChange) {
+        this.settings = settings;
+        this.self = self;
+        this.scheduler = scheduler;
+        this.random = random;
+        this.network = network;
+        this.onChange = onChange;
+        this.seeds = seeds.stream().filter(seed -> !seed.equals(self.address())).toList();
+        table = new MemberTable(settings.most());
+        news = new NewsQueue(settings.spread());
+        order = new ProbeOrder(random);
+    }
+
+    // ---------------------------------------------------------------- life
+
+    /** Begins to join, probe and exchange. */
+    public void start() {
+        announce();
+        joined = seeds.isEmpty();
+        join();
+        scheduler.after(drawn(settings.periodUs()), this::probe);
+        scheduler.after(drawn(settings.gossipUs()), this::gossip);
+        scheduler.after(drawn(settings.exchangeUs()), this::exchangeOnAndOn);
+        scheduler.after(drawn(settings.reconnectUs()), this::reconnect);
+    }
+
+    private long drawn(long mostUs) {
+        return random.nextLong(mostUs) + 1;
+    }
+
+    /** Says that this process goes, and falls silent. */
+    public void leave() {
+        if (over) {
+            return;
+        }
+        Member left = new Member(self, MemberState.LEFT, incarnation, "");
+        put(left);
+        List<Member> peers = others();
+        ListSampler.shuffle(random, peers);
+        for (Member peer : peers.subList(0, Math.min(TOLD_OF_LEAVING, peers.size()))) {
+            send(peer.identity().address(), new Message.Gossip(envelope(left)));
+        }
+        over = true;
+    }
+
+    /** Falls silent without a word. */
+    public void stop() {
+        over = true;
+    }
+
+    private void announce() {
+        put(new Member(self, MemberState.ALIVE, incarnation, ""));
+    }
+
+    private void join() {
+        if (over || joined) {
+            return;
+        }
+        exchange(seeds.get(random.nextInt(seeds.size())));
+        long mostUs = Math.min(JOIN_AGAIN_MOST_US, JOIN_AGAIN_US << Math.min(joinTries++, 10));
+        // Half of it at least, so that many that wait don't come together again.
+        scheduler.after(mostUs / 2 + drawn(mostUs / 2), this::join);
+    }
+
+    // ---------------------------------------------------------------- what others may ask
+
+    /** What this process holds to be the fleet. */
+    public View view() {
+        return new View(table.version(), table.digest(), scheduler.nowUs(), joined,
+                List.copyOf(table.all()));
+    }
+
+    public Counters counters() {
+        return counters;
+    }
+
+    /** Who this process is now; its generation may have grown since the start. */
+    public Identity self() {
+        return self;
+    }
+
+    /** Whether another process of this name keeps it out. */
+    public boolean isOutside() {
+        return outside;
+    }
+
+    /** News that still has to be passed on. */
+    public int newsToPassOn() {
+        return news.size();
+    }
+
+    /** How much longer its time-outs are than those of a process in health. */
+    public int healthFactor() {
+        return health.factor();
+    }
+
+    private List<Member> others() {
+        List<Member> others = new ArrayList<>(table.present());
+        others.removeIf(m -> m.identity().name().equals(self.name()));
+        return others;
+    }
+
+    // ---------------------------------------------------------------- probing
+
+    private void probe() {
+        if (over) {
+            return;
+        }
+        long periodUs = settings.periodUs() * health.factor();
+        scheduler.after(periodUs, this::probe);
+        Map<String, Member> targets = new LinkedHashMap<>();
+        others().forEach(m -> targets.put(m.identity().name(), m));
+        String name = outside ? null : order.next(targets.keySet());
+        if (name != null) {
+            probe(targets.get(name), periodUs);
+        }
+    }
+
+    private void probe(Member target, long periodUs) {
+        counters.add(Name.PROBES);
+        long number = ++lastNumber;
+        Probe probe = new Probe(health::better);
+        probes.put(number, probe);
+        ping(target, number);
+        scheduler.after(settings.probeUs() * health.factor(), () -> askHelpers(target, number));
+        scheduler.after(periodUs - 1, () -> endProbe(target, number));
+    }
+
+    private void ping(Member target, long number) {
+        // A suspect is always told that it is one, so that it can refute (Lifeguard, section IV C).
+        Member told = target.state() == MemberState.SUSPECT ? target : null;
+        send(target.identity().address(), new Message.Ping(envelope(told), number, target.identity().name()));
+    }
+
+    private void askHelpers(Member target, long number) {
+        Probe probe = probes.get(number);
+        if (probe == null || over) {
+            return;
+        }
+        List<Member> helpers = others();
+        helpers.removeIf(m -> m.identity().name().equals(target.identity().name()));
+        ListSampler.shuffle(random, helpers);
+        for (Member helper : helpers.subList(0, Math.min(settings.helpers(), helpers.size()))) {
+            counters.add(Name.HELP_ASKED);
+            probe.nacksOwed.add(helper.identity().name());
+            send(helper.identity().address(), new Message.PingRequest(envelope(null), number,
+                    target.identity().name()));
+        }
+    }
+
+    private void endProbe(Member target, long number) {
+        Probe probe = probes.remove(number);
+        if (probe == null || over) {
+            return;
+        }
+        counters.add(Name.PROBES_FAILED);
+        // Helpers that did not even say no: it may be this process that hears nothing.
+        health.worse(probe.nacksOwed.isEmpty() ? 1 : probe.nacksOwed.size());
+        Member now = table.get(target.identity().name());
+        if (now != null && now.isPresent() && now.identity().isSameLife(target.identity())) {
+            take(now.as(MemberState.SUSPECT, now.incarnation(), self.name()));
+        }
+    }
+
+    private void gossip() {
+        if (over) {
+            return;
+        }
+        scheduler.after(settings.gossipUs(), this::gossip);
+        if (outside || news.size() == 0) {
+            return;
+        }
+        List<Member> peers = others();
+        ListSampler.shuffle(random, peers);
+        for (Member peer : peers.subList(0, Math.min(settings.gossipPeers(), peers.size()))) {
+            Envelope envelope = envelope(null);
+            if (!envelope.news().isEmpty()) {
+                send(peer.identity().address(), new Message.Gossip(envelope));
+            }
+        }
+    }
+
+    // ---------------------------------------------------------------- datagrams
+
+    /** A datagram has come; {@code from} is where an answer goes. */
+    public void onDatagram(InetSocketAddress from, byte[] datagram) {
+        if (over) {
+            return;
+        }
+        Message message;
+        try {
+            message = codec.read(datagram);
+        } catch (BadMessageException e) {
+            counters.add(Name.DROPPED_MALFORMED);
+            return;
+        }
+        Envelope envelope = message.envelope();
+        if (isStranger(envelope) || outside && !(message instanceof Message.Ack)) {
+            return;
+        }
+        envelope.news().forEach(this::take);
+        if (message instanceof Message.Ping ping) {
+            if (ping.target().equals(self.name())) {
+                send(from, new Message.Ack(envelope(whatIsWrongAbout(envelope)), ping.number()));
+            }
+        } else if (message instanceof Message.PingRequest request) {
+            runErrand(from, request);
+        } else if (message instanceof Message.Ack ack) {
+            Probe probe = probes.remove(ack.number());
+            if (probe != null) {
+                probe.onAck.run();
+            }
+        } else if (message instanceof Message.Nack nack && probes.containsKey(nack.number())) {
+            probes.get(nack.number()).nacksOwed.remove(envelope.from());
+        }
+        meet(from, envelope);
+    }
+
+    private boolean isStranger(Envelope envelope) {
+        if (!envelope.deployment().equals(self.deployment())) {
+            counters.add(Name.DROPPED_DEPLOYMENT);
+            return true;
+        }
+        if (envelope.version() < self.oldest() || envelope.version() > self.newest()) {
+            counters.add(Name.DROPPED_VERSION);
+            return true;
+        }
+        return false;
+    }
+
+    /** What the sender has to refute, since it is there: it may not have heard it. */
+    private Member whatIsWrongAbout(Envelope sender) {
+        Member known = table.get(sender.from());
+        return known != null && known.state() != MemberState.ALIVE
+                && known.identity().generation() >= sender.generation() ? known : null;
+    }
+
+    /** Who is not in the view, or is there as an elder, is asked who it is. */
+    private void meet(InetSocketAddress from, Envelope sender) {
+        Member known = table.get(sender.from());
+        boolean isNew = known == null || known.identity().generation() < sender.generation();
+        if (isNew && !sender.from().equals(self.name()) && exchangesOpen < MOST_MET) {
+            exchange(known == null ? from : known.identity().address());
+        }
+    }
+
+    private void runErrand(InetSocketAddress asker, Message.PingRequest request) {
+        Member target = table.get(request.target());
+        if (target == null || probes.size() >= MOST_ERRANDS) {
+            counters.add(Name.DROPPED_BUSY);
+            return;
+        }
+        long number = ++lastNumber;
+        probes.put(number, new Probe(() -> send(asker, new Message.Ack(envelope(null), request.number()))));
+        ping(target, number);
+        scheduler.after(Math.round(settings.probeUs() * NACK_AFTER), () -> {
+            if (probes.containsKey(number)) {
+                send(asker, new Message.Nack(envelope(null), request.number()));
+            }
+        });
+        scheduler.after(settings.periodUs(), () -> probes.remove(number));
+    }
+
+    private Envelope envelope(Member first) {
+        return new Envelope(self.deployment(), Codec.VERSION, self.name(), self.generation(),
+                news.take(Codec.MOST_BYTES - HEAD_BYTES, first, table.all().size(), codec::size));
+    }
+
+    private void send(InetSocketAddress to, Message message) {
+        if (!over) {
+            network.send(to, codec.datagram(message));
+        }
+    }
+
+    // ---------------------------------------------------------------- exchanges
+
+    private void exchangeOnAndOn() {
+        if (over) {
+            return;
+        }
+        scheduler.after(settings.exchangeUs(), this::exchangeOnAndOn);
+        List<Member> peers = others();
+        if (!peers.isEmpty() && !outside) {
+            exchange(peers.get(random.nextInt(peers.size())).identity().address());
+        }
+    }
+
+    /** One that has failed may only have been cut off; and the seeds may be on the other side of a cut. */
+    private void reconnect() {
+        if (over) {
+            return;
+        }
+        scheduler.after(settings.reconnectUs(), this::reconnect);
+        List<InetSocketAddress> lost = new ArrayList<>();
+        Set<InetSocketAddress> present = new LinkedHashSet<>();
+        for (Member member : table.all()) {
+            if (member.state() == MemberState.FAILED) {
+                lost.add(member.identity().address());
+            } else if (member.isPresent()) {
+                present.add(member.identity().address());
+            }
+        }
+        seeds.stream().filter(seed -> !present.contains(seed)).forEach(lost::add);
+        if (!lost.isEmpty() && !outside) {
+            exchange(lost.get(random.nextInt(lost.size())));
+        }
+    }
+
+    private void exchange(InetSocketAddress to) {
+        counters.add(Name.EXCHANGES);
+        exchangesOpen++;
+        network.exchange(to, wholeView(), answer -> {
+            exchangesOpen--;
+            if (over) {
+                return;
+            }
+            if (answer == null || !takeView(answer)) {
+                counters.add(Name.EXCHANGES_FAILED);
+            } else if (!joined) {
+                joined = true;
+            }
+        });
+    }
+
+    private byte[] wholeView() {
+        return codec.exchange(new Envelope(self.deployment(), Codec.VERSION, self.name(), self.generation(),
+                List.copyOf(table.all())));
+    }
+
+    /** Another gives its whole view; the answer is this process's own, or null for what is refused. */
+    public byte[] onExchange(byte[] body) {
+        return over || outside || !takeView(body) ? null : wholeView();
+    }
+
+    private boolean takeView(byte[] body) {
+        Envelope envelope;
+        try {
+            envelope = codec.readExchange(body, settings.most());
+        } catch (BadMessageException e) {
+            counters.add(Name.DROPPED_MALFORMED);
+            return false;
+        }
+        if (isStranger(envelope)) {
+            return false;
+        }
+        for (Member said : envelope.news()) {
+            // What another holds to have failed may be there: it gets the time to refute.
+            boolean isOwnWord = said.identity().name().equals(envelope.from());
+            take(said.state() == MemberState.FAILED && !isOwnWord && isPresentHere(said)
+                    ? said.as(MemberState.SUSPECT, said.incarnation(), envelope.from()) : said);
+        }
+        return true;
+    }
+
+    private boolean isPresentHere(Member said) {
+        Member known = table.get(said.identity().name());
+        return known != null && known.isPresent() && known.identity().isSameLife(said.identity());
+    }
+
+    // ---------------------------------------------------------------- news
+
+    private void take(Member said) {
+        String name = said.identity().name();
+        if (name.equals(self.name())) {
+            takeOfSelf(said);
+            return;
+        }
+        Member known = table.get(name);
+        if (known != null && said.state() == MemberState.SUSPECT && known.state() == MemberState.SUSPECT
+                && said.incarnation() == known.incarnation()
+                && said.identity().isSameLife(known.identity())) {
+            if (suspicions.containsKey(name) && suspicions.get(name).confirm(said.by())) {
+                news.add(said);
+            }
+            return;
+        }
+        if (known != null && !said.overrides(known)) {
+            return;
+        }
+        if (!self.understands(said.identity())) {
+            counters.add(Name.DROPPED_VERSION);
+        } else if (!table.hasRoomFor(name)) {
+            counters.add(Name.DROPPED_FULL);
+        } else if (known != null || said.isPresent()) {
+            // Of one that was never known, that it has gone is no news to anybody here.
+            put(said);
+        }
+    }
+
+    private void takeOfSelf(Member said) {
+        if (said.identity().isSameLife(self)) {
+            if (said.state() != MemberState.ALIVE && said.incarnation() >= incarnation) {
+                counters.add(Name.REFUTED);
+                health.worse(1);
+                incarnation = said.incarnation() + 1;
+                announce();
+            } else if (said.incarnation() > incarnation) {
+                // Its own word from before it forgot: never, unless somebody makes things up.
+                incarnation = said.incarnation() + 1;
+                announce();
+            }
+        } else if (said.identity().isLaterThan(self) && twin == null) {
+            counters.add(Name.NAME_CONFLICTS);
+            boolean isElder = !said.isPresent() || said.identity().address().equals(self.address());
+            if (isElder) {
+                // The clock was stepped back between the two lives.
+                beBornAgain(said.identity());
+            } else {
+                askTwin(said.identity());
+            }
+        }
+    }
+
+    private void beBornAgain(Identity elder) {
+        self = self.reborn(elder.generation() + 1);
+        incarnation = 0;
+        outside = false;
+        announce();
+    }
+
+    /** A later life of this name at another address: if it is there, this process stands outside. */
+    private void askTwin(Identity other) {
+        twin = other;
+        long number = ++lastNumber;
+        probes.put(number, new Probe(() -> {
+            outside = true;
+            scheduler.after(JOIN_AGAIN_MOST_US, () -> askTwin(other));
+        }));
+        send(other.address(), new Message.Ping(envelope(null), number, self.name()));
+        scheduler.after(settings.periodUs() * 2, () -> {
+            if (probes.remove(number) != null && !over) {
+                twin = null;
+                beBornAgain(other);
+            }
+        });
+    }
+
+    private void put(Member member) {
+        String name = member.identity().name();
+        Member before = table.get(name);
+        table.put(member);
+        news.add(member);
+        Suspicion suspicion = suspicions.remove(name);
+        if (suspicion != null) {
+            suspicion.end();
+        }
+        Scheduler.Timer forget = forgetting.remove(name);
+        if (forget != null) {
+            forget.cancel();
+        }
+        switch (member.state()) {
+            case SUSPECT -> suspect(member);
+            case FAILED, LEFT -> forgetting.put(name, scheduler.after(settings.forgetUs(),
+                    () -> forget(name)));
+            default -> {
+                if (before == null || !before.isPresent()) {
+                    order.add(name);
+                }
+            }
+        }
+        onChange.accept(before, member);
+    }
+
+    private void suspect(Member member) {
+        counters.add(Name.SUSPECTED);
+        int fleet = table.present().size();
+        long leastUs = Math.round(settings.suspicion() * Math.max(1, Math.log10(Math.max(1, fleet)))
+                * settings.periodUs());
+        long mostUs = Math.round(settings.patience() * leastUs);
+        // With too few others to confirm it, waiting for them would only be slow.
+        int wanted = fleet - 2 < settings.helpers() ? 0 : settings.helpers();
+        suspicions.put(member.identity().name(), new Suspicion(scheduler, leastUs, mostUs, wanted,
+                member.by(),
+                () -> fail(member)));
+    }
+
+    private void fail(Member suspect) {
+        Member now = table.get(suspect.identity().name());
+        if (!over && now == suspect) {
+            counters.add(Name.FAILED);
+            put(suspect.as(MemberState.FAILED, suspect.incarnation(), ""));
+        }
+    }
+
+    private void forget(String name) {
+        Member gone = table.get(name);
+        forgetting.remove(name);
+        if (!over && gone != null && !gone.isPresent()) {
+            table.forget(name);
+            onChange.accept(gone, null);
+        }
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/tansypass/fleet/membership/View.java
@@ -0,0 +1,29 @@
+package tansypass.fleet.membership;
+
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * What one process holds to be the fleet, at one moment. Two views may differ for as long as
+ * docs/membership.md says; nothing exclusive may be done on one alone.
+ *
+ * @param version grows with each change of this process's view
+ * @param digest equal in views that have the same processes present
+ * @param atUs when it was taken, on the process's own clock
+ * @param joined whether the process has met another, or has nobody to meet
+ * @param members all lines, itself among them, by name
+ */
+public record View(long version, String digest, long atUs, boolean joined, List<Member> members) {
+
+    /** How many of a role are present, by zone. */
+    public Map<String, Integer> presentByZone(Role role) {
+        Map<String, Integer> zones = new TreeMap<>();
+        for (Member member : members) {
+            if (member.isPresent() && member.identity().role() == role) {
+                zones.merge(member.identity().zone(), 1, Integer::sum);
+            }
+        }
+        return zones;
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/tansypass/fleet/net/FleetMember.java
@@ -0,0 +1,108 @@
+package tansypass.fleet.net;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import tansypass.fleet.env.Randoms;
+import tansypass.fleet.membership.Codec;
+import tansypass.fleet.membership.Identity;
+import tansypass.fleet.membership.Member;
+import tansypass.fleet.membership.MembershipSettings;
+import tansypass.fleet.membership.Swim;
+import tansypass.fleet.membership.View;
+
+/** This process as a member of its fleet: the machine, its loop and its sockets. Any thread may ask it. */
+public final class FleetMember implements FleetNetwork.Handler {
+    private static final long LEAVE_WITHIN_MS = 200;
+
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = group.next();
+    private final FleetNetwork network = new FleetNetwork(loop);
+    private final Codec codec = new Codec();
+    private final Swim swim;
+    private volatile View view;
+    private volatile Map<String, Long> counts = Map.of();
+
+    /**
+     * A member that has not begun.
+     *
+     * @param onChange is told of each change of the view, on the fleet's loop
+     */
+    public FleetMember(MembershipSettings settings, Identity self, List<InetSocketAddress> seeds, long seed,
+            BiConsumer<Member, Member> onChange) {
+        swim = new Swim(settings, self, seeds, new LoopScheduler(loop), Randoms.of(seed, "membership"),
+                network,
+                onChange);
+    }
+
+    /** Opens its address and begins to join; throws IOException if the address can't be had. */
+    public void start() throws IOException {
+        network.open(swim.self().address(), this);
+        loop.execute(() -> {
+            swim.start();
+            publish();
+        });
+        loop.scheduleAtFixedRate(this::publish, 100, 100, TimeUnit.MILLISECONDS);
+    }
+
+    private void publish() {
+        view = swim.view();
+        counts = swim.counters().all();
+    }
+
+    /** What it held to be the fleet up to a tenth of a second ago; null before the start. */
+    public View view() {
+        return view;
+    }
+
+    /** What it counts, by name. */
+    public Map<String, Long> counts() {
+        return counts;
+    }
+
+    /** Tells others that it goes, and waits a moment for the words to be on their way. */
+    public void leave() {
+        CountDownLatch told = new CountDownLatch(1);
+        loop.execute(() -> {
+            swim.leave();
+            publish();
+            told.countDown();
+        });
+        try {
+            told.await(LEAVE_WITHIN_MS, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Ends without a word, and gives its sockets back. */
+    public void close() {
+        loop.execute(swim::stop);
+        network.close();
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+    }
+
+    @Override
+    public void onDatagram(InetSocketAddress from, byte[] datagram) {
+        swim.onDatagram(from, datagram);
+    }
+
+    @Override
+    public byte[] onExchange(byte[] body) {
+        return swim.onExchange(body);
+    }
+
+    @Override
+    public byte[] page() {
+        return codec.page(swim.self(), swim.view(), swim.isOutside(), swim.healthFactor());
+    }
+}
--- a/rig/src/main/java/tansypass/rig/real/LoopScheduler.java
+++ b/fleet/src/main/java/tansypass/fleet/net/LoopScheduler.java
@@ -1,4 +1,4 @@
-package tansypass.rig.real;
+package tansypass.fleet.net;
 
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
@@ -7,11 +7,11 @@
 import tansypass.fleet.env.Scheduler;
 
 /** The time and timers of an event loop. */
-final class LoopScheduler implements Scheduler {
+public final class LoopScheduler implements Scheduler {
     private final EventLoop loop;
     private final long originNs = System.nanoTime();
 
-    LoopScheduler(EventLoop loop) {
+    public LoopScheduler(EventLoop loop) {
         this.loop = loop;
     }
 
--- a/rig/src/main/java/tansypass/rig/judge/Tally.java
+++ b/rig/src/main/java/tansypass/rig/judge/Tally.java
@@ -30,7 +30,7 @@
     private static final long HIGHEST_US = 3_600_000_000L;
     private static final int DIGITS = 3;
 
-    private final Map<End, Long> ends = new EnumMap<>(End.class);
+    private final EnumMap<End, Long> ends = new EnumMap<>(End.class);
     private final Map<Long, Map<End, Long>> seconds = new TreeMap<>();
     private final Histogram served = new Histogram(HIGHEST_US, DIGITS);
     private final Histogram lateness = new Histogram(HIGHEST_US, DIGITS);
@@ -72,6 +72,11 @@
         return attempts;
     }
 
+    /** All counts so far. */
+    public Map<End, Long> counts() {
+        return new EnumMap<>(ends);
+    }
+
     /** By second of the load: how many of what was meant to be sent in it ended how. */
     public Map<Long, Map<End, Long>> seconds() {
         return seconds;
--- a/rig/src/main/java/tansypass/rig/model/LinkState.java
+++ b/rig/src/main/java/tansypass/rig/model/LinkState.java
@@ -13,6 +13,9 @@
  * may overlap: each is put on and taken off by itself, and what holds is all of them together.
  */
 public final class LinkState {
+    /** What a lost piece of a stream costs: the least time-out for sending it again that systems use. */
+    private static final long SENT_AGAIN_US = 200_000;
+
     private final long delayUs;
     private final UniformRandomProvider random;
     private final List<Fault> active = new ArrayList<>();
@@ -60,6 +63,11 @@
         return is(Kind.RESET, Direction.THERE) || is(Kind.RESET, Direction.BACK);
     }
 
+    /** Whether the ends of connections are not passed on. */
+    public boolean isHalfOpen() {
+        return active.stream().anyMatch(f -> f.kind() == Kind.HALF_OPEN);
+    }
+
     /** When the last piece that has entered comes out. */
     public long busyUntilUs() {
         return Math.max(lastDueUs[0], lastDueUs[1]);
@@ -73,6 +81,7 @@
             if (on(fault, direction)) {
                 wayUs += switch (fault.kind()) {
                     case DELAY -> fault.timeUs();
+                    case LOSS -> random.nextDouble() < fault.amount() ? SENT_AGAIN_US : 0;
                     case JITTER -> Math.round(random.nextDouble() * fault.timeUs());
                     default -> 0;
                 };
--- a/rig/src/main/java/tansypass/rig/model/WebServer.java
+++ b/rig/src/main/java/tansypass/rig/model/WebServer.java
@@ -108,9 +108,9 @@
         return true;
     }
 
-    /** A connection has ended. */
+    /** A connection has ended; one of an earlier life is in no table. */
     public void disconnect() {
-        connections--;
+        connections = Math.max(0, connections - 1);
     }
 
     /** How long a connection may be idle. */
--- a/rig/src/main/java/tansypass/rig/real/RealRun.java
+++ b/rig/src/main/java/tansypass/rig/real/RealRun.java
@@ -6,6 +6,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.HexFormat;
 import java.util.List;
@@ -24,7 +25,9 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import tansypass.fleet.env.Randoms;
+import tansypass.fleet.net.LoopScheduler;
 import tansypass.rig.judge.Judge;
+import tansypass.rig.judge.Tally.End;
 import tansypass.rig.model.Arrivals;
 import tansypass.rig.model.FaultPlan;
 import tansypass.rig.model.Front;
@@ -57,6 +60,7 @@
     private final long seed;
     private final List<String> command;
     private final Path folder;
+    private final Progress progress;
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
     private final LoopScheduler scheduler = new LoopScheduler(loop);
@@ -177,7 +181,8 @@
         }
     }
 
-    private RealRun(Scenario scenario, long seed, List<String> command, Path folder) {
+    private RealRun(Scenario scenario, long seed, List<String> command, Path folder, Progress progress) {
+        this.progress = progress;
         this.scenario = scenario;
         this.seed = seed;
         this.command = command;
@@ -192,13 +197,14 @@
      *
      * @param command starts a node when its file is added
      * @param folder for files and logs
+     * @param progress is told each second
      * @throws IllegalArgumentException if the machine does not bear it; nothing was started then
      * @throws IOException if an address is taken or a node does not get ready
      */
-    public static Judge play(Scenario scenario, long seed, List<String> command, Path folder)
-            throws IOException, InterruptedException {
+    public static Judge play(Scenario scenario, long seed, List<String> command, Path folder,
+            Progress progress) throws IOException, InterruptedException {
         Capacity.require(scenario);
-        RealRun run = new RealRun(scenario, seed, command, folder);
+        RealRun run = new RealRun(scenario, seed, command, folder, progress);
         try (Hosts hosts = Hosts.claim(); Reaper reaper = new Reaper()) {
             run.build(hosts, reaper);
             run.startNodes();
@@ -314,6 +320,19 @@
                 Randoms.of(seed, "load"));
         arrive(arrivals, arrivals.nextUs());
         scheduler.after(scenario.lengthUs() + scenario.settleUs(), this::askWhatIsHeld);
+        tell(1, Map.of());
+    }
+
+    private void tell(long second, Map<End, Long> before) {
+        scheduler.after(second * 1_000_000 - clock.nowUs(), () -> {
+            Map<End, Long> counts = judge.tally().counts();
+            Map<End, Long> ends = new EnumMap<>(counts);
+            ends.replaceAll((end, count) -> count - before.getOrDefault(end, 0L));
+            progress.second(second, ends, places.stream().map(p -> p.up).toList(), judge.broken());
+            if (!over.isDone()) {
+                tell(second + 1, counts);
+            }
+        });
     }
 
     private void arrive(Arrivals arrivals, long firstUs) {
--- a/rig/src/main/java/tansypass/rig/real/Relay.java
+++ b/rig/src/main/java/tansypass/rig/real/Relay.java
@@ -208,6 +208,8 @@
                 to.closeFuture().addListener(closed -> forget());
                 there = new Pump(from, to, Direction.THERE);
                 back = new Pump(to, from, Direction.BACK);
+                there.other = back;
+                back.other = there;
                 from.pipeline().addLast(there);
                 to.pipeline().addLast(back);
                 if (from.isActive()) {
@@ -256,6 +258,7 @@
         private final Deque<ByteBuf> held = new ArrayDeque<>();
         /** On their way; a timer each, and each lets the oldest out, so that nothing overtakes. */
         private final Deque<Runnable> passing = new ArrayDeque<>();
+        private Pump other;
         private int holding;
         private boolean ended;
 
@@ -273,7 +276,7 @@
         public void channelRead(ChannelHandlerContext ctx, Object message) {
             ByteBuf piece = (ByteBuf) message;
             holding += piece.readableBytes();
-            in.config().setAutoRead(holding < WINDOW);
+            readMore();
             held.add(piece);
             flush();
         }
@@ -284,7 +287,7 @@
                 ByteBuf piece = held.poll();
                 later(piece.readableBytes(), () -> write(piece));
             }
-            if (ended && held.isEmpty() && !state.isCut(direction)) {
+            if (ended && held.isEmpty() && !state.isCut(direction) && !state.isHalfOpen()) {
                 later(0, out::close);
             }
         }
@@ -296,7 +299,17 @@
             } else {
                 ReferenceCountUtil.release(piece);
             }
-            in.config().setAutoRead(holding < WINDOW);
+            readMore();
+        }
+
+        /** Only while there is room here, and at who takes it. */
+        void readMore() {
+            in.config().setAutoRead(holding < WINDOW && out.isWritable());
+        }
+
+        @Override
+        public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+            other.readMore();
         }
 
         private void later(int bytes, Runnable passOn) {
@@ -325,7 +338,7 @@
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
             // A reset: passed on as one.
-            if (!state.isCut(direction)) {
+            if (!state.isCut(direction) && !state.isHalfOpen()) {
                 Channels.reset(out);
             }
             ctx.close();
--- a/rig/src/main/java/tansypass/rig/scenario/Scenario.java
+++ b/rig/src/main/java/tansypass/rig/scenario/Scenario.java
@@ -83,7 +83,11 @@
         /** A link passes so many bytes a second. */
         RATE,
         /** A link resets its connections, and new ones at once. */
-        RESET;
+        RESET,
+        /** A link loses this share of pieces; a stream's are sent again, and come late. */
+        LOSS,
+        /** The end of a connection is not passed on: the other side goes on holding it. */
+        HALF_OPEN;
 
         /** Whether it is on a link and not on a process. */
         public boolean isLink() {
--- a/rig/src/main/java/tansypass/rig/scenario/ScenarioFile.java
+++ b/rig/src/main/java/tansypass/rig/scenario/ScenarioFile.java
@@ -35,6 +35,11 @@
         return TomlFile.read(file, Map.of(), ScenarioFile::of);
     }
 
+    /** Reads a text; {@code name} is what faults name. */
+    public static Scenario parse(String text, String name) {
+        return TomlFile.parse(text, name, Map.of(), ScenarioFile::of);
+    }
+
     private static Scenario of(Section root) {
         List<Section> classes = root.tables("classes");
         if (classes.isEmpty()) {
--- /dev/null
+++ b/rig/src/main/java/tansypass/rig/virtual/VirtualFleet.java
@@ -0,0 +1,309 @@
+package tansypass.rig.virtual;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+
+import org.apache.commons.rng.UniformRandomProvider;
+import tansypass.fleet.env.Randoms;
+import tansypass.fleet.membership.Codec;
+import tansypass.fleet.membership.Identity;
+import tansypass.fleet.membership.Member;
+import tansypass.fleet.membership.MembershipSettings;
+import tansypass.fleet.membership.Network;
+import tansypass.fleet.membership.Role;
+import tansypass.fleet.membership.Swim;
+import tansypass.fleet.membership.View;
+
+/**
+ * Many processes' memberships in virtual time, with a network between them that loses, delays and cuts. One
+ * seed gives one trace.
+ */
+public final class VirtualFleet {
+    private static final int PORT = 7_946;
+    private static final long EXCHANGE_WITHIN_US = 1_000_000;
+    /** What a stopped process's system keeps for it; more datagrams are lost. */
+    private static final int KERNEL_KEEPS = 300;
+    private static final long START_MS = 1_800_000_000_000L;
+
+    private final long seed;
+    private final MembershipSettings settings;
+    private final List<String> zones;
+    private final EventQueue queue = new EventQueue();
+    private final UniformRandomProvider random;
+    private final List<Place> places = new ArrayList<>();
+    private final Map<InetSocketAddress, Place> byAddress = new HashMap<>();
+    private final MessageDigest trace;
+    private Links links = (from, to) -> true;
+    private Change watcher = (who, before, after) -> { };
+    private double loss;
+    private long delayUs = 500;
+    private long datagrams;
+    private long bytes;
+
+    /** Which way datagrams pass. */
+    public interface Links {
+        boolean passes(int from, int to);
+    }
+
+    /** Is told of each change of each view. */
+    public interface Change {
+        void changed(int who, Member before, Member after);
+    }
+
+    private final class Place {
+        private final int number;
+        private final InetSocketAddress address;
+        private final String name;
+        private VirtualProcess process;
+        private Swim swim;
+        private int lives;
+
+        Place(int number, String name) {
+            this.number = number;
+            this.name = name;
+            address = address(number);
+        }
+    }
+
+    /** Nobody is started yet. */
+    public VirtualFleet(long seed, MembershipSettings settings, int count, List<String> zones) {
+        this.seed = seed;
+        this.settings = settings;
+        this.zones = List.copyOf(zones);
+        random = Randoms.of(seed, "network");
+        try {
+            trace = MessageDigest.getInstance("SHA-256");
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("every Java has SHA-256", e);
+        }
+        for (int i = 0; i < count; i++) {
+            add("node-" + i);
+        }
+    }
+
+    /** One more process of this name; its number. */
+    public int add(String name) {
+        Place place = new Place(places.size(), name);
+        places.add(place);
+        byAddress.put(place.address, place);
+        return place.number;
+    }
+
+    private static InetSocketAddress address(int number) {
+        try {
+            return new InetSocketAddress(InetAddress.getByAddress(new byte[] {127, (byte) (64
+                    + number / 62_500),
+                (byte) (number / 250 % 250), (byte) (number % 250 + 1)}), PORT);
+        } catch (UnknownHostException e) {
+            throw new IllegalStateException("four bytes are an address", e);
+        }
+    }
+
+    // ---------------------------------------------------------------- what may be done to it
+
+    /** Starts one that joins through these; {@code clockMs} is how far its wall clock is off. */
+    public void start(int number, List<Integer> seeds, long clockMs, String deployment) {
+        Place place = places.get(number);
+        place.process = new VirtualProcess(queue);
+        place.lives++;
+        UniformRandomProvider own = Randoms.of(seed, place.number + "#" + place.lives);
+        Identity identity = new Identity(place.name, START_MS + queue.nowUs() / 1_000 + clockMs,
+                own.nextLong(),
+                zones.get(number % zones.size()), Role.NODE, place.address, deployment, Codec.VERSION,
+                Codec.VERSION);
+        place.swim = new Swim(settings, identity, seeds.stream().map(s -> places.get(s).address).toList(),
+                place.process, own, new Wire(place), (before, after) -> {
+                    note(number, after == null ? "forgotten" : after.identity().name() + after.state()
+                            + after.incarnation());
+                    watcher.changed(number, before, after);
+                });
+        place.swim.start();
+    }
+
+    /** Starts them all at once, each with process 0 for its seed. */
+    public void startAll() {
+        for (Place place : places) {
+            start(place.number, List.of(0), 0, "d");
+        }
+    }
+
+    /** SIGKILL. */
+    public void kill(int number) {
+        places.get(number).process.kill();
+        places.get(number).swim.stop();
+    }
+
+    /** Leaves as planned, and ends. */
+    public void leave(int number) {
+        places.get(number).swim.leave();
+        places.get(number).process.kill();
+    }
+
+    /** SIGSTOP, or SIGCONT. */
+    public void pause(int number, boolean on) {
+        places.get(number).process.pause(on);
+    }
+
+    /** From now on only what these let through passes. */
+    public void links(Links passing) {
+        links = passing;
+    }
+
+    /** From now on this share of datagrams is lost. */
+    public void loss(double share) {
+        loss = share;
+    }
+
+    /** From now on a datagram takes from this to twice this. */
+    public void delay(long us) {
+        delayUs = us;
+    }
+
+    /** Brings one a datagram that no process sent. */
+    public void inject(int to, byte[] datagram) {
+        Place place = places.get(to);
+        place.process.reach(() -> place.swim.onDatagram(address(places.size()), datagram));
+    }
+
+    public void watch(Change change) {
+        watcher = change;
+    }
+
+    /** Lets this much time go by. */
+    public void run(long us) {
+        queue.runUntil(queue.nowUs() + us);
+    }
+
+    // ---------------------------------------------------------------- what may be seen of it
+
+    public long nowUs() {
+        return queue.nowUs();
+    }
+
+    public Swim swim(int number) {
+        return places.get(number).swim;
+    }
+
+    public View view(int number) {
+        return places.get(number).swim.view();
+    }
+
+    public boolean isUp(int number) {
+        VirtualProcess process = places.get(number).process;
+        return process != null && !process.isDead() && !process.isPaused();
+    }
+
+    /** Whether all that are up have one view, with just them present. */
+    public boolean isAgreed() {
+        List<Integer> up = new ArrayList<>();
+        for (int i = 0; i < places.size(); i++) {
+            if (isUp(i)) {
+                up.add(i);
+            }
+        }
+        String digest = view(up.get(0)).digest();
+        return up.stream().allMatch(i -> view(i).digest().equals(digest))
+                && view(up.get(0)).members().stream().filter(Member::isPresent).count() == up.size();
+    }
+
+    /** Runs until all agree; the time it took, or -1 if it took longer than this. */
+    public long runUntilAgreed(long mostUs) {
+        long fromUs = queue.nowUs();
+        while (!isAgreed()) {
+            if (queue.nowUs() - fromUs >= mostUs) {
+                return -1;
+            }
+            run(settings.periodUs() / 10);
+        }
+        return queue.nowUs() - fromUs;
+    }
+
+    /** Datagrams sent so far. */
+    public long datagrams() {
+        return datagrams;
+    }
+
+    /** Bytes in them. */
+    public long bytes() {
+        return bytes;
+    }
+
+    /** The same for the same seed and the same done to it. */
+    public String traceHash() {
+        try {
+            return HexFormat.of().formatHex(((MessageDigest) trace.clone()).digest(), 0, Long.BYTES);
+        } catch (CloneNotSupportedException e) {
+            throw new IllegalStateException("SHA-256 can be cloned", e);
+        }
+    }
+
+    private void note(int who, String what) {
+        trace.update(ByteBuffer.allocate(Long.BYTES + Integer.BYTES).putLong(queue.nowUs()).putInt(who)
+                .flip());
+        trace.update(what.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private long wayUs() {
+        return delayUs + (delayUs == 0 ? 0 : random.nextLong(delayUs));
+    }
+
+    /** The network as one process has it. */
+    private final class Wire implements Network {
+        private final Place from;
+
+        Wire(Place from) {
+            this.from = from;
+        }
+
+        @Override
+        public void send(InetSocketAddress to, byte[] datagram) {
+            datagrams++;
+            bytes += datagram.length;
+            Place place = byAddress.get(to);
+            if (place == null || !links.passes(from.number, place.number) || random.nextDouble() < loss) {
+                return;
+            }
+            queue.after(wayUs(), () -> {
+                VirtualProcess process = place.process;
+                if (process != null && (!process.isPaused() || process.waiting() < KERNEL_KEEPS)) {
+                    Swim swim = place.swim;
+                    process.reach(() -> swim.onDatagram(from.address, datagram));
+                }
+            });
+        }
+
+        @Override
+        public void exchange(InetSocketAddress to, byte[] body, Consumer<byte[]> answer) {
+            VirtualProcess asking = from.process;
+            boolean[] done = new boolean[1];
+            Consumer<byte[]> once = result -> asking.reach(() -> {
+                if (!done[0]) {
+                    done[0] = true;
+                    answer.accept(result);
+                }
+            });
+            queue.after(EXCHANGE_WITHIN_US, () -> once.accept(null));
+            Place place = byAddress.get(to);
+            if (place == null || place.process == null || !links.passes(from.number, place.number)
+                    || !links.passes(place.number, from.number)) {
+                return;
+            }
+            Swim swim = place.swim;
+            queue.after(2 * wayUs(), () -> place.process.reach(() -> {
+                byte[] result = swim.onExchange(body);
+                queue.after(wayUs(), () -> once.accept(result));
+            }));
+        }
+    }
+}
--- a/rig/src/main/java/tansypass/rig/virtual/VirtualRun.java
+++ b/rig/src/main/java/tansypass/rig/virtual/VirtualRun.java
@@ -16,7 +16,6 @@
 import cedarrelay.Balancer.Settings;
 import org.apache.commons.rng.UniformRandomProvider;
 import tansypass.fleet.env.Randoms;
-import tansypass.fleet.env.Scheduler;
 import tansypass.rig.judge.Judge;
 import tansypass.rig.model.Arrivals;
 import tansypass.rig.model.FaultPlan;
@@ -76,15 +75,14 @@
     }
 
     /** A node's name and address, which outlive its process. */
-    private final class NodePlace implements VirtualNetwork, Scheduler {
+    private final class NodePlace implements VirtualNetwork {
         private final int number;
         private final LinkState fromClients;
         private final List<LinkState> links = new ArrayList<>();
         private final Map<Fault, Judge.Excuse> linkExcuses = new HashMap<>();
-        private final List<Runnable> waiting = new ArrayList<>();
         private VirtualNode node;
+        private VirtualProcess process;
         private int life;
-        private boolean paused;
         private boolean leaving;
         private boolean starting;
         private boolean startWanted;
@@ -108,7 +106,8 @@
             List<ServerBook.Entry> known = book.known();
             known.stream().filter(e -> e.state() != State.READY)
                     .forEach(e -> judge.told(queue.nowUs(), number, e.number(), true));
-            node = new VirtualNode(this, this, settings(number),
+            process = new VirtualProcess(queue);
+            node = new VirtualNode(process, this, settings(number),
                     Randoms.seedOf(seed, "node-" + number + "#" + life), entries(known), parts);
             front.ready(number);
         }
@@ -128,56 +127,16 @@
             }
         }
 
-        /** Something reaches the node's process: at once, or when it goes on. */
-        void reach(int inLife, Runnable event) {
-            if (inLife != life || node == null) {
-                return;
-            }
-            if (paused) {
-                waiting.add(() -> reach(inLife, event));
-                return;
-            }
-            event.run();
-        }
-
-        @Override
-        public long nowUs() {
-            return queue.nowUs();
-        }
-
-        /** The node's own timers: a process that stands still sees them late, and a dead one never. */
-        @Override
-        public Timer after(long delayUs, Runnable task) {
-            int inLife = life;
-            boolean[] cancelled = new boolean[1];
-            Timer timer = queue.after(delayUs, () -> reach(inLife, () -> {
-                if (!cancelled[0]) {
-                    task.run();
-                }
-            }));
-            return () -> {
-                cancelled[0] = true;
-                timer.cancel();
-            };
-        }
-
         void pause(boolean on) {
-            if (on && node != null && !paused) {
-                paused = true;
+            if (on && node != null && !process.isPaused()) {
+                process.pause(true);
                 pause = judge.excuse(queue.nowUs(), number);
-            } else if (!on && paused) {
-                goOn();
-                List<Runnable> missed = new ArrayList<>(waiting);
-                waiting.clear();
-                missed.forEach(Runnable::run);
+            } else if (!on && process.isPaused()) {
+                pause.end(queue.nowUs());
+                process.pause(false);
             }
         }
 
-        private void goOn() {
-            paused = false;
-            pause.end(queue.nowUs());
-        }
-
         /** SIGKILL, of a process that is just starting too. */
         void kill() {
             starting = false;
@@ -185,9 +144,8 @@
                 life++;
                 return;
             }
-            if (paused) {
-                goOn();
-                waiting.clear();
+            if (process.isPaused()) {
+                pause.end(queue.nowUs());
             }
             int ended = life;
             front.died(number);
@@ -202,6 +160,7 @@
 
         private void gone() {
             node.die();
+            process.kill();
             node = null;
             life++;
             leaving = false;
@@ -223,7 +182,7 @@
         }
 
         private void endWhenDone(int ending) {
-            if (life == ending && !paused && node.inFlight() == 0) {
+            if (life == ending && !process.isPaused() && node.inFlight() == 0) {
                 gone();
             } else if (life == ending) {
                 queue.after(DONE_CHECK_US, () -> endWhenDone(ending));
@@ -231,7 +190,7 @@
         }
 
         private void endInTime(int ending) {
-            if (life == ending && paused) {
+            if (life == ending && process.isPaused()) {
                 queue.after(TERM_GRACE_US, () -> endInTime(ending));
             } else if (life == ending) {
                 judge.leaked(queue.nowUs(), "node-" + number + " is still there after SIGTERM");
@@ -243,7 +202,7 @@
         public void connect(String name, VirtualNetwork.Reply reply) {
             Server server = server(name);
             LinkState link = links.get(server.number);
-            int inLife = life;
+            VirtualProcess asking = process;
             if (link.isDeaf()) {
                 return;
             }
@@ -253,7 +212,7 @@
                         : Result.CONNECT_FAILED;
                 long backUs = link.dueUs(Direction.BACK, queue.nowUs(), 0);
                 queue.after(backUs - queue.nowUs(),
-                        () -> reach(inLife, () -> reply.done(result, 0, null)));
+                        () -> asking.reach(() -> reply.done(result, 0, null)));
             });
         }
 
@@ -297,13 +256,12 @@
 
     /** An attempt on its way to a server and back. */
     private final class Flying implements VirtualNetwork.Flight {
-        private final NodePlace from;
         private final Server server;
         private final LinkState link;
         private final String id;
         private final boolean fresh;
         private final VirtualNetwork.Reply reply;
-        private final int life;
+        private final VirtualProcess sender;
         private final Runnable onReset = this::reset;
         private WebServer.Work work;
         private int attempt = -1;
@@ -311,13 +269,12 @@
         private boolean over;
 
         Flying(NodePlace from, Server server, long request, boolean fresh, VirtualNetwork.Reply reply) {
-            this.from = from;
             this.server = server;
             this.fresh = fresh;
             this.reply = reply;
             link = from.links.get(server.number);
             id = HexFormat.of().toHexDigits(request);
-            life = from.life;
+            sender = from.process;
         }
 
         void start() {
@@ -348,7 +305,7 @@
                 if (!link.isCut(Direction.BACK)) {
                     long dueUs = link.dueUs(Direction.BACK, queue.nowUs(), MESSAGE_BYTES);
                     queue.after(dueUs - queue.nowUs(),
-                            () -> from.reach(life, () -> reply.done(Result.OK, status, body)));
+                            () -> sender.reach(() -> reply.done(Result.OK, status, body)));
                 }
             });
         }
@@ -367,7 +324,9 @@
                     server.model.disconnect();
                 }
                 leave(false);
-                from.reach(life, () -> reply.done(Result.RESET, 0, null));
+                if (!link.isHalfOpen()) {
+                    sender.reach(() -> reply.done(Result.RESET, 0, null));
+                }
             }
         }
 
@@ -462,6 +421,7 @@
         clients.put(id, client);
         classes.put(id, cls);
         LinkState link = place.fromClients;
+        VirtualProcess taking = place.process;
         queue.after(Judge.patienceUs(deadlineUs) - queue.nowUs(), () -> {
             classes.remove(id);
             if (clients.remove(id, client)) {
@@ -470,7 +430,7 @@
         });
         if (!link.isCut(Direction.THERE)) {
             long dueUs = link.dueUs(Direction.THERE, queue.nowUs(), MESSAGE_BYTES);
-            queue.after(dueUs - queue.nowUs(), () -> place.reach(client.life, () -> place.node.take(request,
+            queue.after(dueUs - queue.nowUs(), () -> taking.reach(() -> place.node.take(request,
                     scenario.classes().indexOf(cls), Math.max(0, deadlineUs - queue.nowUs()))));
         }
     }
@@ -490,11 +450,13 @@
     }
 
     private void tell(NodePlace place, ServerBook.News news) {
-        int inLife = place.life;
+        if (place.node == null) {
+            return;
+        }
         for (ServerBook.Entry entry : news.entries()) {
             judge.told(queue.nowUs(), place.number, entry.number(), entry.state() != State.READY);
         }
-        place.reach(inLife, () -> place.node.told(entries(news.entries())));
+        place.process.reach(() -> place.node.told(entries(news.entries())));
     }
 
     private List<ServerEntry> entries(List<ServerBook.Entry> of) {
@@ -567,8 +529,8 @@
         } else {
             server.model.die();
             new ArrayList<>(server.connections).forEach(Runnable::run);
-            nodes.stream().filter(place -> place.node != null)
-                    .forEach(place -> place.node.serverReset(server.model.name()));
+            nodes.stream().filter(p -> p.node != null && !p.links.get(server.number).isHalfOpen())
+                    .forEach(p -> p.node.serverReset(server.model.name()));
         }
     }
 
@@ -599,10 +561,10 @@
         }
         if (fault.kind() == Kind.RESET && begins) {
             for (Client client : List.copyOf(clients.values())) {
-                if (client.node == node) {
+                if (client.node == node && place.node != null) {
                     clients.remove(client.id);
                     judge.broken(queue.nowUs(), client.id, false);
-                    place.reach(client.life, () -> place.node.clientGone(client.number()));
+                    place.process.reach(() -> place.node.clientGone(client.number()));
                 }
             }
         }
--- a/rig/src/test/java/tansypass/rig/Worlds.java
+++ b/rig/src/test/java/tansypass/rig/Worlds.java
@@ -1,10 +1,5 @@
 package tansypass.rig;
 
-import java.io.IOException;
-import java.io.UncheckedIOException;
-import java.nio.file.Files;
-import java.nio.file.Path;
-
 import tansypass.rig.scenario.Scenario;
 import tansypass.rig.scenario.ScenarioFile;
 
@@ -38,16 +33,7 @@
 
     /** Reads one from text. */
     public static Scenario of(String text) {
-        try {
-            Path file = Files.createTempFile("scenario", ".toml");
-            try {
-                return ScenarioFile.read(Files.writeString(file, text).toString());
-            } finally {
-                Files.delete(file);
-            }
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
-        }
+        return ScenarioFile.parse(text, "world");
     }
 
     /** One more fault for the end of a text. */
--- a/rig/src/test/java/tansypass/rig/real/RelayTest.java
+++ b/rig/src/test/java/tansypass/rig/real/RelayTest.java
@@ -23,6 +23,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import tansypass.fleet.env.Randoms;
+import tansypass.fleet.net.LoopScheduler;
 import tansypass.rig.model.LinkState;
 import tansypass.rig.scenario.Scenario.Fault;
 import tansypass.rig.scenario.Scenario.Kind;
@@ -139,6 +140,41 @@
         }
     }
 
+    @Test
+    void onAHalfOpenLinkNobodyHearsOfTheOthersEndUntilItIsOver() throws Exception {
+        Fault half = fault(Kind.HALF_OPEN, Way.BOTH);
+        try (Socket near = connect()) {
+            Socket far = accept();
+            put(half, true);
+            far.close();
+            near.setSoTimeout(SILENCE_MS);
+            assertThrows(SocketTimeoutException.class, () -> near.getInputStream().read());
+            near.setSoTimeout(PATIENCE_MS);
+            put(half, false);
+            assertEquals(-1, near.getInputStream().read());
+        }
+    }
+
+    @Test
+    void aSenderWaitsWhereNobodyTakesWhatItSends() throws Exception {
+        byte[] much = new byte[64 << 20];
+        try (Socket near = connect(); Socket far = accept()) {
+            Thread sender = new Thread(() -> {
+                try {
+                    near.getOutputStream().write(much);
+                } catch (IOException e) {
+                    throw new IllegalStateException(e);
+                }
+            });
+            sender.start();
+            far.getInputStream().readNBytes(1 << 20);
+            sender.join(SILENCE_MS);
+            assertTrue(sender.isAlive(), "64 MB went somewhere");
+            far.getInputStream().readNBytes(much.length - (1 << 20));
+            sender.join();
+        }
+    }
+
     @Test
     void aResetEndsWhatIsOpenAndWhatComes() throws Exception {
         Fault reset = fault(Kind.RESET, Way.BOTH);
--- a/rig/src/test/java/tansypass/rig/scenario/ScenarioFileTest.java
+++ b/rig/src/test/java/tansypass/rig/scenario/ScenarioFileTest.java
@@ -33,7 +33,8 @@
         assertEquals(List.of(
                 "22 faults[0].kind: \"burn\" is not allowed; allowed: one of kill, term, pause, drain,"
                 + " choke, hang,"
-                + " errors, silence, cut, delay, jitter, rate, reset",
+                + " errors, silence, cut, delay, jitter, rate, reset,"
+                + " loss, half-open",
                 "23 faults[0].on: a list is not allowed; allowed: a list of texts, each node-N, server-N,"
                 + " node-*,"
                 + " server-*, clients or discovery",
--- a/rig/src/test/java/tansypass/rig/virtual/VirtualRunTest.java
+++ b/rig/src/test/java/tansypass/rig/virtual/VirtualRunTest.java
@@ -49,6 +49,8 @@
                 Worlds.fault("silence", "\"discovery\"", "1s", "2s", ""),
                 Worlds.fault("cut", "\"node-0\", \"server-1\"", "1s", "2s", "way = \"back\""),
                 Worlds.fault("reset", "\"node-0\", \"server-*\"", "1s", "500ms", ""),
+                Worlds.fault("loss", "\"node-0\", \"server-*\"", "1s", "1s", "amount = 0.3"),
+                Worlds.fault("half-open", "\"node-*\", \"server-0\"", "500ms", "3s", ""),
                 Worlds.fault("rate", "\"node-1\", \"server-*\"", "1s", "1s", "amount = 20000.0"),
                 Worlds.fault("cut", "\"clients\", \"node-0\"", "2s", "1s", ""),
                 Worlds.fault("reset", "\"clients\", \"node-1\"", "2s", "1s", ""),
