Judge a new life of a node by its own list only; measure the rig's cost by events

And rig bench took 20 minutes for its load figure: tasks that follow each other at once keep an event loop from its sockets for up to 1 s.

Change: the judge knows which servers leave by the list as it stands; a new life starts from that, and from nothing else. The bench writes when the channel is writable, and looks on a timer.

--- a/cli/src/main/java/tansypass/cli/RigCommand.java
+++ b/cli/src/main/java/tansypass/cli/RigCommand.java
@@ -21,7 +21,8 @@
 
 /** Worlds with faults, on real processes or in virtual time. */
 @Command(name = "rig", mixinStandardHelpOptions = true, subcommands = {RigCommand.Run.class,
-        ExploreCommand.class},
+        DemoCommand.class,
+        ExploreCommand.class, FleetCommand.class, BenchCommand.class},
         description = "Play worlds of nodes, servers, load and faults, and judge them.")
 final class RigCommand implements Runnable {
     @Spec
--- a/rig/src/main/java/tansypass/rig/judge/Judge.java
+++ b/rig/src/main/java/tansypass/rig/judge/Judge.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeSet;
 
 import tansypass.config.NodeFile.Group;
 import tansypass.config.NodeFile.Repeat;
@@ -42,6 +43,8 @@
     private final Map<String, Taken> requests = new LinkedHashMap<>();
     private final Set<String> over = new HashSet<>();
     private final Map<String, Long> told = new HashMap<>();
+    /** Servers that leave by the list as it stands, told or not. */
+    private final Set<Integer> leaving = new TreeSet<>();
     private final Map<Integer, List<Excuse>> excuses = new HashMap<>();
     private final MessageDigest trace;
     private final ByteBuffer number = ByteBuffer.allocate(Long.BYTES);
@@ -310,6 +313,11 @@
 
     /** The list has changed: whether or not it reaches a node, it counts as told a while later. */
     public void listed(long nowUs, int server, boolean leaves) {
+        if (leaves) {
+            leaving.add(server);
+        } else {
+            leaving.remove(server);
+        }
         for (int node = 0; node < scenario.nodes().count(); node++) {
             String key = key(node, server);
             if (leaves) {
@@ -324,7 +332,8 @@
     /** A new life of a node knows only what it is told in it. */
     public void started(long nowUs, int node) {
         note(nowUs, "started", "node-" + node, 0);
-        told.replaceAll((key, atUs) -> key.startsWith(node + ">") && atUs <= nowUs ? nowUs + TOLD_US : atUs);
+        told.keySet().removeIf(key -> key.startsWith(node + ">"));
+        leaving.forEach(server -> told.put(key(node, server), nowUs + TOLD_US));
     }
 
     /** A node is killed or stands still, or the link between it and the clients is broken, from now on. */
--- a/rig/src/main/java/tansypass/rig/real/RigCost.java
+++ b/rig/src/main/java/tansypass/rig/real/RigCost.java
@@ -48,7 +48,8 @@
     private static final int ROUND_TRIPS = 20_000;
     private static final int REQUESTS = 40_000;
     private static final int AT_ONCE = 32;
-    private static final long WITHIN_S = 120;
+    private static final long LOOK_US = 50;
+    private static final long WITHIN_S = 30;
     private static final String WORLD = """
             name = "cost"
             length = "1s"
@@ -125,36 +126,49 @@
     private double bytesPerS(InetSocketAddress to) throws InterruptedException, ExecutionException,
             TimeoutException {
         CompletableFuture<Long> done = new CompletableFuture<>();
-        Channel channel = connect(to, new ChannelInboundHandlerAdapter() {
-            @Override
-            public void channelRead(ChannelHandlerContext ctx, Object message) {
-                ((ByteBuf) message).release();
-                done.complete(System.nanoTime());
-            }
-        });
         long startNs = System.nanoTime();
-        near.execute(() -> fill(channel, BYTES));
+        Channel channel = connect(to, new Filler(done));
         double tookS = (done.get(WITHIN_S, TimeUnit.SECONDS) - startNs) / 1e9;
         channel.close().sync();
         return BYTES / tookS;
     }
 
-    /** Writes as fast as it is taken; the last byte is a 1. */
-    private void fill(Channel channel, long leftAtFirst) {
-        long left = leftAtFirst;
-        while (left > 0 && channel.isWritable()) {
-            int size = (int) Math.min(PIECE, left);
-            left -= size;
-            ByteBuf piece = channel.alloc().buffer(size).writeZero(size);
-            if (left == 0) {
-                piece.setByte(size - 1, 1);
+    /** Writes as fast as it is taken; the last byte is a 1, and what comes back says that it has come. */
+    private static final class Filler extends ChannelInboundHandlerAdapter {
+        private final CompletableFuture<Long> done;
+        private long left = BYTES;
+
+        Filler(CompletableFuture<Long> done) {
+            this.done = done;
+        }
+
+        @Override
+        public void channelActive(ChannelHandlerContext ctx) {
+            fill(ctx);
+        }
+
+        @Override
+        public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+            fill(ctx);
+        }
+
+        private void fill(ChannelHandlerContext ctx) {
+            while (left > 0 && ctx.channel().isWritable()) {
+                int size = (int) Math.min(PIECE, left);
+                left -= size;
+                ByteBuf piece = ctx.alloc().buffer(size).writeZero(size);
+                if (left == 0) {
+                    piece.setByte(size - 1, 1);
+                }
+                ctx.write(piece);
             }
-            channel.write(piece);
+            ctx.flush();
         }
-        long rest = left;
-        channel.flush();
-        if (rest > 0) {
-            near.execute(() -> fill(channel, rest));
+
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object message) {
+            ((ByteBuf) message).release();
+            done.complete(System.nanoTime());
         }
     }
 
@@ -239,7 +253,10 @@
         if (sentNow == REQUESTS && clients.open() == 0) {
             done.complete(null);
         } else {
-            near.execute(() -> keepBusy(world, clients, clock, sentNow, done));
+            // A timer and not a task: tasks that follow each other at once would keep the loop from its
+            // sockets.
+            near.schedule(() -> keepBusy(world, clients, clock, sentNow, done), LOOK_US,
+                    TimeUnit.MICROSECONDS);
         }
     }
 }
--- a/rig/src/test/java/tansypass/rig/judge/JudgeTest.java
+++ b/rig/src/test/java/tansypass/rig/judge/JudgeTest.java
@@ -129,6 +129,22 @@
         broken(Rule.DRAINING);
     }
 
+    @Test
+    void aNewLifeOfANodeOwesNothingForWhatItsElderWasTold() {
+        judge.listed(0, 1, true);
+        judge.told(0, 0, 1, true);
+        judge.listed(900 * MS, 1, false);
+        judge.started(1_000 * MS, 0);
+        judge.sent(0, "x", safe, 0, 9_000 * MS, 9_400 * MS);
+        judge.attempt(9_010 * MS, "x", 1);
+        broken();
+        judge.listed(10_000 * MS, 1, true);
+        judge.started(11_000 * MS, 0);
+        judge.sent(0, "y", safe, 0, 18_000 * MS, 18_400 * MS);
+        judge.attempt(18_100 * MS, "y", 1);
+        broken(Rule.DRAINING);
+    }
+
     @Test
     void whatWasTakenIsOwedAnAnswerInItsTime() {
         sent(safe);
