--- a/cli/src/main/java/tansypass/cli/Membership.java
+++ b/cli/src/main/java/tansypass/cli/Membership.java
@@ -27,15 +27,10 @@
             return null;
         }
         SecureRandom random = new SecureRandom();
-        MembershipSettings usual = MembershipSettings.DEFAULT;
         Identity self = new Identity(file.name(), System.currentTimeMillis(), random.nextLong(), file.zone(),
                 Role.NODE, file.fleet().listen(), file.fleet().deployment(), Codec.VERSION, Codec.VERSION);
-        FleetMember member = new FleetMember(new MembershipSettings(file.fleet().periodUs(),
-                file.fleet().probeUs(), usual.helpers(),
-                file.fleet().periodUs() / 5, usual.gossipPeers(), usual.suspicion(), usual.patience(),
-                usual.spread(),
-                usual.exchangeUs(), usual.reconnectUs(), usual.forgetUs(), usual.most()), self,
-                file.fleet().seeds(), random.nextLong(), Membership::changed);
+        FleetMember member = new FleetMember(MembershipSettings.DEFAULT.in(file.fleet().periodUs(),
+                file.fleet().probeUs()), self, file.fleet().seeds(), random.nextLong(), Membership::changed);
         try {
             member.start();
         } catch (IOException e) {
--- a/fleet/src/main/java/tansypass/fleet/membership/MemberTable.java
+++ b/fleet/src/main/java/tansypass/fleet/membership/MemberTable.java
@@ -1,9 +1,9 @@
 package tansypass.fleet.membership;
 
+import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HexFormat;
 import java.util.List;
@@ -12,11 +12,12 @@
 
 /** What a process knows of the others and of itself: one line a name, of which the latest news counts. */
 final class MemberTable {
-    private static final int DIGEST_BYTES = 8;
-
     private final SortedMap<String, Member> members = new TreeMap<>();
     private final int most;
     private long version;
+    /** Of all that are present, each digest once: an exclusive or has no order. */
+    private long sum;
+    private List<Member> present;
 
     MemberTable(int most) {
         this.most = most;
@@ -32,11 +33,8 @@
 
     /** Those to be counted on. */
     List<Member> present() {
-        List<Member> present = new ArrayList<>();
-        for (Member member : members.values()) {
-            if (member.isPresent()) {
-                present.add(member);
-            }
+        if (present == null) {
+            present = members.values().stream().filter(Member::isPresent).toList();
         }
         return present;
     }
@@ -48,13 +46,22 @@
 
     /** Takes it in place of what was there. */
     void put(Member member) {
-        members.put(member.identity().name(), member);
-        version++;
+        sum ^= digest(members.put(member.identity().name(), member)) ^ digest(member);
+        changed();
     }
 
     void forget(String name) {
-        members.remove(name);
+        sum ^= digest(members.remove(name));
+        changed();
+    }
+
+    private void changed() {
         version++;
+        present = null;
+    }
+
+    int size() {
+        return members.size();
     }
 
     /** Grows with each change of this view; says nothing to others. */
@@ -62,18 +69,20 @@
         return version;
     }
 
-    /** The same for two views that say the same of everybody present. */
+    /** The same for two views that say the same of everybody present, whatever the order they heard it in. */
     String digest() {
+        return HexFormat.of().toHexDigits(sum);
+    }
+
+    private static long digest(Member member) {
+        if (member == null || !member.isPresent()) {
+            return 0;
+        }
         try {
-            MessageDigest digest = MessageDigest.getInstance("SHA-256");
-            for (Member member : members.values()) {
-                if (member.isPresent()) {
-                    digest.update((member.identity().name() + ' ' + member.identity().generation() + ' '
-                            + Long.toHexString(member.identity().nonce()) + '\n')
-                            .getBytes(StandardCharsets.UTF_8));
-                }
-            }
-            return HexFormat.of().formatHex(digest.digest(), 0, DIGEST_BYTES);
+            Identity who = member.identity();
+            return ByteBuffer.wrap(MessageDigest.getInstance("SHA-256").digest((who.name() + ' '
+                    + who.generation() + ' ' + Long.toHexString(who.nonce()))
+                    .getBytes(StandardCharsets.UTF_8))).getLong();
         } catch (NoSuchAlgorithmException e) {
             throw new IllegalStateException("every Java has SHA-256", e);
         }
--- a/fleet/src/main/java/tansypass/fleet/membership/Message.java
+++ b/fleet/src/main/java/tansypass/fleet/membership/Message.java
@@ -15,8 +15,16 @@
      * @param version of the protocol
      * @param from the sender's name
      * @param generation the sender's
+     * @param digest of the sender's view; empty if it does not say
      */
-    record Envelope(String deployment, int version, String from, long generation, List<Member> news) { }
+    record Envelope(String deployment, int version, String from, long generation, String digest,
+            List<Member> news) {
+
+        /** A whole view, which needs no digest. */
+        public Envelope(String deployment, int version, String from, long generation, List<Member> news) {
+            this(deployment, version, from, generation, "", news);
+        }
+    }
 
     /** Are you there? {@code target} and its generation are who is meant, whoever has the address now. */
     record Ping(Envelope envelope, long number, String target) implements Message { }
--- a/fleet/src/main/java/tansypass/fleet/membership/ProbeOrder.java
+++ b/fleet/src/main/java/tansypass/fleet/membership/ProbeOrder.java
@@ -1,8 +1,9 @@
 package tansypass.fleet.membership;
 
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.List;
+import java.util.function.Predicate;
+import java.util.function.Supplier;
 
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.sampling.ListSampler;
@@ -16,21 +17,19 @@
         this.random = random;
     }
 
-    /** The next of these names, or null if there are none. */
-    String next(Collection<String> present) {
-        while (true) {
-            if (round.isEmpty()) {
-                if (present.isEmpty()) {
-                    return null;
+    /** The next of these names that is one still, or null if there is none. */
+    String next(Supplier<List<String>> names, Predicate<String> isOne) {
+        for (int rounds = 0; rounds < 2; rounds++) {
+            while (!round.isEmpty()) {
+                String name = round.remove(round.size() - 1);
+                if (isOne.test(name)) {
+                    return name;
                 }
-                round.addAll(present);
-                ListSampler.shuffle(random, round);
-            }
-            String name = round.remove(round.size() - 1);
-            if (present.contains(name)) {
-                return name;
             }
+            round.addAll(names.get());
+            ListSampler.shuffle(random, round);
         }
+        return null;
     }
 
     /** A new member gets into the present round at a place drawn for it. */
