Open a node whose rehearsal ran out of time: its end went through a map that it changed

Log of one: 2.6 s after the first line 'the module sent a request that is not held', then nothing. Cause: Node.close ended the requests in hand while walking through their map (Node, held.values().forEach); one that waits for its connection leaves the map as it ends, the walk throws, the timer keeps the exception to itself, and the rehearsal never says that it is over. Change: a copy is walked, a closed node's module is told nothing, and the node opens whatever closing does. Ruled out: archive of classes, membership, a taken port (docs/incidents/never-ready.md).

--- a/node/src/main/java/cedarrelay/node/Node.java
+++ b/node/src/main/java/cedarrelay/node/Node.java
@@ -78,6 +78,7 @@
     private final Deque<Event> events = new ArrayDeque<>();
     private boolean inCall;
     private boolean rehearsing;
+    private boolean closed;
     private ScheduledFuture<?> wake;
 
     /** A call of the module that is due, and the request that it touches, if any. */
@@ -300,7 +301,9 @@
         if (wake != null) {
             wake.cancel(false);
         }
-        held.values().forEach(Held::end);
+        closed = true;
+        // A copy: one that waits for its connection is taken out as it ends.
+        List.copyOf(held.values()).forEach(Held::end);
         discovery.close();
         clients.close();
         pool.close();
@@ -345,6 +348,10 @@
      * only after the call that caused it.
      */
     private void enter(Held touches, Runnable call) {
+        if (closed) {
+            // Told of the ends, the module would send what waits in its queue.
+            return;
+        }
         events.add(new Event(touches, call));
         if (inCall) {
             return;
--- a/node/src/main/java/cedarrelay/node/Rehearsal.java
+++ b/node/src/main/java/cedarrelay/node/Rehearsal.java
@@ -65,8 +65,11 @@
     private void end() {
         if (!over) {
             over = true;
-            node.close();
-            done.run();
+            try {
+                node.close();
+            } finally {
+                done.run();
+            }
         }
     }
 
--- a/node/src/test/java/cedarrelay/node/RehearsalTest.java
+++ b/node/src/test/java/cedarrelay/node/RehearsalTest.java
@@ -3,6 +3,11 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.lang.management.ManagementFactory;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.channels.SocketChannel;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -40,6 +45,29 @@
         }
     }
 
+    /** As on a machine too slow for it: the time is over while requests wait for their connections. */
+    @Test
+    void oneThatRunsOutOfTimeWithRequestsInHandStillLetsTheNodeOpen() throws Exception {
+        EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        EventLoop loop = group.next();
+        try (FakePeer discovery = new FakePeer(FakePeer.SILENT);
+                ServerSocket full = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+                SocketChannel first = SocketChannel.open(); SocketChannel second = SocketChannel.open()) {
+            // Whose queue is full leaves a handshake without an answer.
+            for (SocketChannel filler : List.of(first, second)) {
+                filler.configureBlocking(false);
+                filler.connect(full.getLocalSocketAddress());
+            }
+            Config config = Config.parse(Fixture.config(discovery).toString(), Map.of());
+            CountDownLatch done = new CountDownLatch(1);
+            loop.execute(() -> new Rehearsal(loop, config, (InetSocketAddress) full.getLocalSocketAddress(),
+                    "token", Main.REHEARSED, 1_500, done::countDown).run());
+            assertTrue(done.await(20, TimeUnit.SECONDS), "the node never opens");
+        } finally {
+            group.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
+        }
+    }
+
     private static int flag(String name) {
         return Integer.parseInt(JVM.getVMOption(name).getValue());
     }
