Rig: links between nodes for datagrams and connections, membership judged in both worlds

Need: membership was proved in virtual time only; nothing could lie between two real processes' datagrams. Change: [fleet] in scenarios; faults on links between nodes (cut, one way, delay, jitter, loss, duplicate, reorder, rate); each node has a face in the rig that it advertises ([fleet] advertise, and exchanges come from the fleet's host); three rules of membership, each with a planted fault that exploring finds; how soon a death was seen is in the report. The same files play on both worlds. Tests see it: views without tries of the lost never heal, a suspicion of nothing fails the living; both found and made small.

--- a/cli/src/main/java/tansypass/cli/Membership.java
+++ b/cli/src/main/java/tansypass/cli/Membership.java
@@ -28,9 +28,9 @@
         }
         SecureRandom random = new SecureRandom();
         Identity self = new Identity(file.name(), System.currentTimeMillis(), random.nextLong(), file.zone(),
-                Role.NODE, file.fleet().listen(), file.fleet().deployment(), Codec.VERSION, Codec.VERSION);
+                Role.NODE, file.fleet().advertise(), file.fleet().deployment(), Codec.VERSION, Codec.VERSION);
         FleetMember member = new FleetMember(MembershipSettings.DEFAULT.in(file.fleet().periodUs(),
-                file.fleet().probeUs()), self, file.fleet().seeds(), random.nextLong(), Membership::changed);
+                file.fleet().probeUs()), self, file.fleet().listen(), file.fleet().seeds(), random.nextLong(), Membership::changed);
         try {
             member.start();
         } catch (IOException e) {
--- a/config/src/main/java/tansypass/config/NodeFile.java
+++ b/config/src/main/java/tansypass/config/NodeFile.java
@@ -62,9 +62,10 @@
      * Membership in a fleet; lengths of time in microseconds.
      *
      * @param listen where it takes datagrams and whole views
+     * @param advertise where others reach that; the same unless something translates addresses between them
      * @param seeds to join through
      */
-    public record Fleet(InetSocketAddress listen, String deployment, List<InetSocketAddress> seeds,
+    public record Fleet(InetSocketAddress listen, InetSocketAddress advertise, String deployment, List<InetSocketAddress> seeds,
             long periodUs, long probeUs) { }
 
     /** Throws FaultyFileException with all that is wrong. */
@@ -100,7 +101,9 @@
         if (fleet.isSound() && probeUs >= periodUs) {
             fleet.fault("probe", "is not shorter than the period");
         }
-        return new Fleet(fleet.address("listen", true), fleet.text("deployment", NAME, NAME_ALLOWED),
+        InetSocketAddress listen = fleet.address("listen", true);
+        InetSocketAddress advertise = fleet.address("advertise", false);
+        return new Fleet(listen, advertise == null ? listen : advertise, fleet.text("deployment", NAME, NAME_ALLOWED),
                 fleet.addresses("seeds"), periodUs, probeUs);
     }
 
--- a/fleet/src/main/java/tansypass/fleet/membership/MembershipSettings.java
+++ b/fleet/src/main/java/tansypass/fleet/membership/MembershipSettings.java
@@ -27,9 +27,10 @@
     public static final MembershipSettings DEFAULT = new MembershipSettings(1_000_000, 3, 300_000, 3,
             200_000, 3, 1.3, 6, 4, 30_000_000, 10_000_000, 600_000_000, 5_000);
 
-    /** The same in other steps; news is told five times a period. */
+    /** The same in other steps: all that repeats does so in as many periods. */
     public MembershipSettings in(long otherPeriodUs, long otherProbeUs) {
         return new MembershipSettings(otherPeriodUs, probes, otherProbeUs, helpers, otherPeriodUs / 5,
-                gossipPeers, suspicion, patience, spread, exchangeUs, reconnectUs, forgetUs, most);
+                gossipPeers, suspicion, patience, spread, 30 * otherPeriodUs, 10 * otherPeriodUs, forgetUs,
+                most);
     }
 }
--- a/fleet/src/main/java/tansypass/fleet/net/FleetMember.java
+++ b/fleet/src/main/java/tansypass/fleet/net/FleetMember.java
@@ -28,6 +28,7 @@
     private final EventLoop loop = group.next();
     private final FleetNetwork network = new FleetNetwork(loop);
     private final Codec codec = new Codec();
+    private final InetSocketAddress listen;
     private final Swim swim;
     private volatile View view;
     private volatile Map<String, Long> counts = Map.of();
@@ -35,10 +36,14 @@
     /**
      * A member that has not begun.
      *
+     * @param listen where it takes what comes to the address that its identity tells others; the same address
+     *     unless something translates between the two
      * @param onChange is told of each change of the view, on the fleet's loop
      */
-    public FleetMember(MembershipSettings settings, Identity self, List<InetSocketAddress> seeds, long seed,
+    public FleetMember(MembershipSettings settings, Identity self, InetSocketAddress listen,
+            List<InetSocketAddress> seeds, long seed,
             BiConsumer<Member, Member> onChange) {
+        this.listen = listen;
         swim = new Swim(settings, self, seeds, new LoopScheduler(loop), Randoms.of(seed, "membership"),
                 network,
                 onChange);
@@ -46,7 +51,7 @@
 
     /** Opens its address and begins to join; throws IOException if the address can't be had. */
     public void start() throws IOException {
-        network.open(swim.self().address(), this);
+        network.open(listen, this);
         loop.execute(() -> {
             swim.start();
             publish();
--- a/fleet/src/main/java/tansypass/fleet/net/FleetNetwork.java
+++ b/fleet/src/main/java/tansypass/fleet/net/FleetNetwork.java
@@ -59,6 +59,7 @@
 
     private final EventLoop loop;
     private final Set<Channel> callers = new HashSet<>();
+    private InetSocketAddress own;
     private Channel datagrams;
     private Channel listening;
     private int calls;
@@ -83,6 +84,8 @@
     /** Opens both sides; throws IOException, naming the address, if one can't be had. Not on the loop. */
     public void open(InetSocketAddress address, Handler to) throws IOException {
         handler = to;
+        // Exchanges come from the same host as datagrams, so that others can tell by it who calls.
+        own = new InetSocketAddress(address.getAddress(), 0);
         ChannelFuture udp = new Bootstrap().group(loop).channel(NioDatagramChannel.class)
                 .option(ChannelOption.SO_RCVBUF, SOCKET_BUFFER)
                 // One byte more than allowed: a longer one is cut, and still seen to be too long.
@@ -148,7 +151,7 @@
                                 new HttpClientCodec(), new HttpObjectAggregator(Codec.MOST_EXCHANGE_BYTES),
                                 call);
                     }
-                }).connect(to).addListener(done -> {
+                }).connect(to, own).addListener(done -> {
                     if (!done.isSuccess()) {
                         call.end(null);
                     }
--- a/rig/src/main/java/tansypass/rig/explore/FaultDraw.java
+++ b/rig/src/main/java/tansypass/rig/explore/FaultDraw.java
@@ -39,7 +39,8 @@
     }
 
     private Fault fault() {
-        Kind kind = Kind.values()[random.nextInt(Kind.values().length)];
+        int kinds = Kind.values().length;
+        Kind kind = Kind.values()[random.nextInt(scenario.fleet() == null ? Kind.DUPLICATE.ordinal() : kinds)];
         long atUs = random.nextLong(scenario.lengthUs());
         // Short ones as often as long ones: those that just miss something matter as much.
         long lastsUs = (long) (scenario.lengthUs() / 2 * Math.pow(random.nextDouble(), 3));
@@ -55,7 +56,9 @@
             case TERM, PAUSE -> List.of(node());
             case DRAIN, CHOKE, HANG, ERRORS -> List.of(server());
             case SILENCE -> List.of("discovery");
-            default -> random.nextInt(4) == 0 ? List.of("clients", node()) : List.of(node(), server());
+            case DUPLICATE, REORDER -> List.of(node(), node());
+            default -> scenario.fleet() != null && random.nextBoolean() ? List.of(node(), node())
+                    : random.nextInt(4) == 0 ? List.of("clients", node()) : List.of(node(), server());
         };
     }
 
--- a/rig/src/main/java/tansypass/rig/judge/Judge.java
+++ b/rig/src/main/java/tansypass/rig/judge/Judge.java
@@ -46,6 +46,7 @@
     /** Servers that leave by the list as it stands, told or not. */
     private final Set<Integer> leaving = new TreeSet<>();
     private final Map<Integer, List<Excuse>> excuses = new HashMap<>();
+    private final MemberJudge members;
     private final MessageDigest trace;
     private final ByteBuffer number = ByteBuffer.allocate(Long.BYTES);
     private int broken;
@@ -101,6 +102,7 @@
 
     public Judge(Scenario scenario) {
         this.scenario = scenario;
+        members = scenario.fleet() == null ? null : new MemberJudge(this, scenario.fleet().periodUs());
         try {
             trace = MessageDigest.getInstance("SHA-256");
         } catch (NoSuchAlgorithmException e) {
@@ -115,7 +117,7 @@
         trace.update(number.clear().putLong(detail).flip());
     }
 
-    private void breach(Rule rule, long nowUs, String what) {
+    void breach(Rule rule, long nowUs, String what) {
         broken++;
         note(nowUs, "breach " + rule, what, 0);
         if (breaches.size() < MOST_BREACHES) {
@@ -373,6 +375,11 @@
         }
     }
 
+    /** What nodes hold each other to be; null if they are no members of a fleet. */
+    public MemberJudge members() {
+        return members;
+    }
+
     public Tally tally() {
         return tally;
     }
--- a/rig/src/main/java/tansypass/rig/judge/Rule.java
+++ b/rig/src/main/java/tansypass/rig/judge/Rule.java
@@ -15,5 +15,11 @@
     /** No process ends that was not told to. */
     DIED,
     /** Nothing is held when all is over. */
-    LEAKED
+    LEAKED,
+    /** Of nodes in a fleet: none that is up and has no fault is held to have failed. */
+    MEMBER_FAILED,
+    /** Old news brings no member back. */
+    MEMBER_RETURNED,
+    /** All that are up have one view at the end. */
+    MEMBERS_AGREE
 }
--- a/rig/src/main/java/tansypass/rig/model/FaultPlan.java
+++ b/rig/src/main/java/tansypass/rig/model/FaultPlan.java
@@ -25,6 +25,9 @@
         /** A fault of the link from a node to a server begins or ends. */
         void link(int node, int server, Fault fault, boolean begins);
 
+        /** A fault of the link between two nodes begins or ends. */
+        void memberLink(int first, int second, Fault fault, boolean begins);
+
         /** A fault of the link from the clients to a node begins or ends. */
         void clientLink(int node, Fault fault, boolean begins);
     }
@@ -57,7 +60,7 @@
                 if (first.equals("clients")) {
                     world.clientLink(second, fault, begins);
                 } else {
-                    numbers(first).forEach(node -> world.link(node, second, fault, begins));
+                    numbers(first).forEach(node -> link(node, second, fault, begins));
                 }
             }
         } else if (first.startsWith("node")) {
@@ -67,12 +70,20 @@
         }
     }
 
+    private void link(int node, int second, Fault fault, boolean begins) {
+        if (!fault.isOfMembers()) {
+            world.link(node, second, fault, begins);
+        } else if (node != second) {
+            world.memberLink(node, second, fault, begins);
+        }
+    }
+
     /** The links from nodes to servers that some fault is on, as node * servers + server. */
     public static List<Integer> faultyLinks(Scenario scenario) {
         List<Integer> links = new ArrayList<>();
         FaultPlan plan = new FaultPlan(scenario, null);
         for (Fault fault : scenario.faults()) {
-            if (fault.kind().isLink() && fault.target().get(0).startsWith("node")) {
+            if (fault.kind().isLink() && fault.target().get(0).startsWith("node") && !fault.isOfMembers()) {
                 for (int node : plan.numbers(fault.target().get(0))) {
                     for (int server : plan.numbers(fault.target().get(1))) {
                         links.add(node * scenario.servers().count() + server);
--- a/rig/src/main/java/tansypass/rig/model/LinkState.java
+++ b/rig/src/main/java/tansypass/rig/model/LinkState.java
@@ -73,6 +73,39 @@
         return Math.max(lastDueUs[0], lastDueUs[1]);
     }
 
+    /**
+     * When copies of a datagram that enters now come out: none if it is lost, two if it is doubled. Nothing
+     * keeps it behind an earlier one.
+     */
+    public List<Long> datagramDueUs(Direction direction, long nowUs, int bytes) {
+        long wayUs = delayUs;
+        boolean twice = false;
+        for (Fault fault : active) {
+            if (!on(fault, direction)) {
+                continue;
+            }
+            boolean hit = random.nextDouble() < fault.amount();
+            switch (fault.kind()) {
+                case CUT -> {
+                    return List.of();
+                }
+                case LOSS -> {
+                    if (hit) {
+                        return List.of();
+                    }
+                }
+                case DELAY -> wayUs += fault.timeUs();
+                case JITTER -> wayUs += Math.round(random.nextDouble() * fault.timeUs());
+                case REORDER -> wayUs += hit ? fault.timeUs() : 0;
+                case DUPLICATE -> twice |= hit;
+                case RATE -> wayUs += Math.round(bytes * 1e6 / fault.amount());
+                default -> { }
+            }
+        }
+        long dueUs = nowUs + wayUs;
+        return twice ? List.of(dueUs, dueUs) : List.of(dueUs);
+    }
+
     /** When a piece that enters now comes out, never before an earlier one. */
     public long dueUs(Direction direction, long nowUs, int bytes) {
         long wayUs = delayUs;
--- a/rig/src/main/java/tansypass/rig/real/Hosts.java
+++ b/rig/src/main/java/tansypass/rig/real/Hosts.java
@@ -17,6 +17,8 @@
     private static final int CLAIM_PORT = 9;
     private static final int CLIENT_PORT = 8_443;
     private static final int ADMIN_PORT = 9_443;
+    private static final int FLEET_PORT = 7_946;
+    private static final int FIRST_FACE_ROW = 200;
 
     private final int network;
     private final ServerSocket claim;
@@ -65,6 +67,16 @@
         return new InetSocketAddress(node(number), ADMIN_PORT);
     }
 
+    /** Where a node takes what other members send. */
+    InetSocketAddress fleet(int number) {
+        return new InetSocketAddress(node(number), FLEET_PORT);
+    }
+
+    /** Where others send it, if links lie between them. */
+    InetSocketAddress face(int number) {
+        return new InetSocketAddress(host(FIRST_FACE_ROW, number), FLEET_PORT);
+    }
+
     @Override
     public void close() throws IOException {
         claim.close();
--- /dev/null
+++ b/rig/src/main/java/tansypass/rig/real/MemberLinks.java
@@ -0,0 +1,122 @@
+package tansypass.rig.real;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DatagramPacket;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioDatagramChannel;
+import tansypass.fleet.env.Randoms;
+import tansypass.fleet.env.Scheduler;
+import tansypass.rig.model.LinkState;
+import tansypass.rig.model.Mesh;
+import tansypass.rig.scenario.Scenario.Fault;
+import tansypass.rig.scenario.Scenario.Way;
+
+/**
+ * The links between nodes as members of a fleet. Each node has a face here, whose address it tells the others;
+ * what comes to a face from a node's own host goes on to the face's owner, and seems to come from the sender's
+ * face. So both datagrams and connections of each pair pass through the rig, and the nodes know nothing of it.
+ * Lives on one loop.
+ */
+final class MemberLinks {
+    private final EventLoop loop;
+    private final Scheduler scheduler;
+    private final Mesh mesh;
+    private final long seed;
+    private final List<InetSocketAddress> owners = new ArrayList<>();
+    private final Map<String, Integer> byHost = new HashMap<>();
+    private final List<Channel> faces = new ArrayList<>();
+    private final Map<String, Relay> relays = new HashMap<>();
+
+    MemberLinks(EventLoop loop, Scheduler scheduler, long seed) {
+        this.loop = loop;
+        this.scheduler = scheduler;
+        this.seed = seed;
+        mesh = new Mesh(seed, (from, to) -> 0);
+    }
+
+    /** Opens the face of the next node; {@code owner} is where that listens itself. Not on the loop. */
+    void open(InetSocketAddress face, InetSocketAddress owner) throws IOException {
+        int number = owners.size();
+        owners.add(owner);
+        byHost.put(owner.getAddress().getHostAddress(), number);
+        ChannelFuture bound = new Bootstrap().group(loop).channel(NioDatagramChannel.class)
+                .handler(new Datagrams(number)).bind(face).awaitUninterruptibly();
+        if (!bound.isSuccess()) {
+            throw new IOException("can't take datagrams at " + face + ": " + bound.cause().getMessage());
+        }
+        faces.add(bound.channel());
+        Channels.listen(loop, face, channel -> accept(number, channel));
+    }
+
+    /** A fault begins or ends; to be called on the loop. */
+    void put(int first, int second, Fault fault, boolean begins) {
+        mesh.put(first, second, fault, begins);
+        if (!fault.kind().isOfDatagrams()) {
+            relay(first, second).put(fault, begins);
+            relay(second, first).put(fault.on(switch (fault.way()) {
+                case THERE -> Way.BACK;
+                case BACK -> Way.THERE;
+                default -> Way.BOTH;
+            }), begins);
+        }
+    }
+
+    private Relay relay(int from, int to) {
+        return relays.computeIfAbsent(from + ">" + to, name -> new Relay(loop, scheduler,
+                new LinkState(0, Randoms.of(seed, "exchange-" + name)), owners.get(to)));
+    }
+
+    private void accept(int to, SocketChannel channel) {
+        Integer from = byHost.get(channel.remoteAddress().getAddress().getHostAddress());
+        if (from == null) {
+            channel.close();
+        } else {
+            relay(from, to).accept(channel);
+        }
+    }
+
+    private final class Datagrams extends SimpleChannelInboundHandler<DatagramPacket> {
+        private final int to;
+
+        Datagrams(int to) {
+            this.to = to;
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
+            Integer from = byHost.get(packet.sender().getAddress().getHostAddress());
+            if (from == null) {
+                return;
+            }
+            long nowUs = scheduler.nowUs();
+            for (long dueUs : mesh.datagramDueUs(from, to, nowUs, packet.content().readableBytes())) {
+                ByteBuf copy = packet.content().copy();
+                Runnable pass = () -> faces.get(from).writeAndFlush(new DatagramPacket(copy, owners.get(to)));
+                if (dueUs <= nowUs) {
+                    pass.run();
+                } else {
+                    scheduler.after(dueUs - nowUs, pass);
+                }
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            // Nobody listens there now; a datagram has no connection that this could end.
+            ctx.read();
+        }
+    }
+}
--- a/rig/src/main/java/tansypass/rig/real/NodeToml.java
+++ b/rig/src/main/java/tansypass/rig/real/NodeToml.java
@@ -1,6 +1,7 @@
 package tansypass.rig.real;
 
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.Locale;
 import java.util.stream.Collectors;
 
@@ -12,7 +13,7 @@
     private NodeToml() { }
 
     static String of(Scenario scenario, int node, String seed, InetSocketAddress listen,
-            InetSocketAddress admin, InetSocketAddress discovery) {
+            InetSocketAddress admin, InetSocketAddress discovery, String fleet) {
         Scenario.Nodes nodes = scenario.nodes();
         Scenario.Servers servers = scenario.servers();
         return """
@@ -44,7 +45,23 @@
                 nodes.attempts(), nodes.secondCopies(), nodes.cancel(), nodes.retryAfterUs(),
                 nodes.connectTimeoutUs(), servers.idleUs(), nodes.drainGraceUs(), servers.coldFrom(),
                 servers.coldUs(), nodes.logLevel())
-                + scenario.classes().stream().map(NodeToml::requestClass).collect(Collectors.joining());
+                + fleet + scenario.classes().stream().map(NodeToml::requestClass).collect(Collectors.joining());
+    }
+
+    /** The part of a member; {@code advertise} may be its own address. */
+    static String fleet(Scenario.Fleet fleet, InetSocketAddress listen, InetSocketAddress advertise,
+            List<InetSocketAddress> seeds) {
+        return """
+                [fleet]
+                listen = "%s"
+                advertise = "%s"
+                deployment = "rig"
+                seeds = [%s]
+                period = "%dus"
+                probe = "%dus"
+                """.formatted(Channels.text(listen), Channels.text(advertise), seeds.stream()
+                .map(s -> '"' + Channels.text(s) + '"').collect(Collectors.joining(", ")), fleet.periodUs(),
+                fleet.probeUs());
     }
 
     private static String requestClass(RequestClass cls) {
--- a/rig/src/main/java/tansypass/rig/real/Relay.java
+++ b/rig/src/main/java/tansypass/rig/real/Relay.java
@@ -82,7 +82,9 @@
         if (fault.kind() == Kind.RESET && begins) {
             List.copyOf(pairs).forEach(Pair::reset);
         }
-        hear();
+        if (listening != null) {
+            hear();
+        }
         List.copyOf(pairs).forEach(Pair::flush);
     }
 
@@ -132,7 +134,8 @@
         });
     }
 
-    private void accept(SocketChannel from) {
+    /** Takes a connection; of a link that does not listen itself, whoever listens for it calls this. */
+    void accept(SocketChannel from) {
         if (state.isReset()) {
             Channels.reset(from);
             return;
--- a/rig/src/main/java/tansypass/rig/report/Report.java
+++ b/rig/src/main/java/tansypass/rig/report/Report.java
@@ -1,5 +1,6 @@
 package tansypass.rig.report;
 
+import java.util.List;
 import java.util.Locale;
 import java.util.function.ToLongFunction;
 
@@ -9,6 +10,7 @@
 import org.HdrHistogram.Histogram;
 import tansypass.rig.judge.Breach;
 import tansypass.rig.judge.Judge;
+import tansypass.rig.judge.MemberJudge.Death;
 import tansypass.rig.judge.Tally;
 import tansypass.rig.judge.Tally.End;
 import tansypass.rig.scenario.Scenario;
@@ -58,6 +60,10 @@
         line(text, "%s", ends);
         line(text, "served, ms: %s; the rig's own lateness, ms: %s", percentiles(tally.served()),
                 percentiles(tally.lateness()));
+        for (Death death : deaths()) {
+            line(text, "the end of node-%d was seen after %.2f s by the first, %.2f s by the last of %d", death.node(),
+                    death.firstUs() / 1e6, death.lastUs() / 1e6, death.observers());
+        }
         for (Breach breach : judge.breaches()) {
             line(text, "RULE BROKEN %s", breach);
         }
@@ -69,6 +75,10 @@
         return text.toString();
     }
 
+    private List<Death> deaths() {
+        return judge.members() == null ? List.of() : judge.members().deaths();
+    }
+
     private static void line(StringBuilder to, String format, Object... values) {
         to.append(String.format(Locale.ROOT, format, values)).append('\n');
     }
@@ -106,6 +116,16 @@
             seconds.add(row);
         });
         json.add("seconds", seconds);
+        JsonArray deaths = new JsonArray();
+        for (Death death : deaths()) {
+            JsonObject row = new JsonObject();
+            row.addProperty("node", death.node());
+            row.addProperty("first_us", death.firstUs());
+            row.addProperty("last_us", death.lastUs());
+            row.addProperty("observers", death.observers());
+            deaths.add(row);
+        }
+        json.add("deaths", deaths);
         JsonArray breaches = new JsonArray();
         for (Breach breach : judge.breaches()) {
             JsonObject row = new JsonObject();
--- a/rig/src/main/java/tansypass/rig/scenario/ScenarioToml.java
+++ b/rig/src/main/java/tansypass/rig/scenario/ScenarioToml.java
@@ -58,6 +58,8 @@
                 servers.handshakeUs(), servers.connections(), servers.idleUs(), servers.cell(),
                 servers.reports(), scenario.clients().rate(), scenario.clients().noticeUs(),
                 scenario.clients().most(), scenario.net().sameUs(), scenario.net().crossUs())
+                + (scenario.fleet() == null ? "" : "\n[fleet]\nperiod = \"%dus\"\nprobe = \"%dus\"\n"
+                        .formatted(scenario.fleet().periodUs(), scenario.fleet().probeUs()))
                 + scenario.classes().stream().map(ScenarioToml::requestClass).collect(Collectors.joining())
                 + scenario.faults().stream().map(ScenarioToml::fault).collect(Collectors.joining());
     }
--- a/rig/src/main/java/tansypass/rig/virtual/NodeParts.java
+++ b/rig/src/main/java/tansypass/rig/virtual/NodeParts.java
@@ -4,6 +4,7 @@
 import cedarrelay.Balancer.Actions;
 import cedarrelay.Balancer.Settings;
 import cedarrelay.ServiceQBalancer;
+import tansypass.fleet.membership.MembershipSettings;
 
 /** What a virtual node is made of; another product's module, or a fault planted by a test, goes in here. */
 public interface NodeParts {
@@ -15,6 +16,11 @@
         return new ServiceQBalancer(settings, seed, actions);
     }
 
+    /** How nodes keep their membership. */
+    default MembershipSettings membership(MembershipSettings settings) {
+        return settings;
+    }
+
     /** What lies around a node, which may be changed on the way. */
     default VirtualNetwork network(VirtualNetwork network) {
         return network;
--- a/rig/src/main/java/tansypass/rig/virtual/VirtualRun.java
+++ b/rig/src/main/java/tansypass/rig/virtual/VirtualRun.java
@@ -6,8 +6,12 @@
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 
 import cedarrelay.Balancer;
 import cedarrelay.Balancer.Result;
@@ -16,7 +20,11 @@
 import cedarrelay.Balancer.Settings;
 import org.apache.commons.rng.UniformRandomProvider;
 import tansypass.fleet.env.Randoms;
+import tansypass.fleet.membership.Identity;
+import tansypass.fleet.membership.Member;
+import tansypass.fleet.membership.MembershipSettings;
 import tansypass.rig.judge.Judge;
+import tansypass.rig.judge.MemberJudge;
 import tansypass.rig.model.Arrivals;
 import tansypass.rig.model.FaultPlan;
 import tansypass.rig.model.Front;
@@ -41,11 +49,15 @@
     private static final int MESSAGE_BYTES = 300;
     /** SIGKILL follows SIGTERM so much after the longest deadline. */
     private static final long TERM_GRACE_US = 700_000;
+    /** Members through which all others join. */
+    private static final int SEEDS = 3;
 
     private final Scenario scenario;
     private final long seed;
     private final NodeParts parts;
     private final EventQueue queue = new EventQueue();
+    /** Null if the nodes are no members of a fleet. */
+    private VirtualFleet fleet;
     private final Judge judge;
     private final List<Server> servers = new ArrayList<>();
     private final List<NodePlace> nodes = new ArrayList<>();
@@ -110,6 +122,16 @@
             node = new VirtualNode(process, this, settings(number),
                     Randoms.seedOf(seed, "node-" + number + "#" + life), entries(known), parts);
             front.ready(number);
+            if (fleet != null) {
+                fleet.start(number, IntStream.range(0, Math.min(SEEDS, nodes.size())).boxed().toList(), 0, "rig");
+                judge.members().is(number, life(fleet.swim(number).self()));
+            }
+        }
+
+        private void troubled(boolean begins) {
+            if (fleet != null) {
+                judge.members().troubled(number, begins, queue.nowUs());
+            }
         }
 
         /** A fault that ended the process is over; one that goes on leaving starts again after its end. */
@@ -130,10 +152,19 @@
         void pause(boolean on) {
             if (on && node != null && !process.isPaused()) {
                 process.pause(true);
+                member(() -> fleet.pause(number, true));
                 pause = judge.excuse(queue.nowUs(), number);
             } else if (!on && process.isPaused()) {
                 pause.end(queue.nowUs());
                 process.pause(false);
+                member(() -> fleet.pause(number, false));
+            }
+        }
+
+        /** What is done to the node is done to its part in the fleet, if it has one. */
+        private void member(Runnable same) {
+            if (fleet != null) {
+                same.run();
             }
         }
 
@@ -160,6 +191,10 @@
 
         private void gone() {
             node.die();
+            member(() -> {
+                fleet.kill(number);
+                judge.members().died(number, queue.nowUs());
+            });
             process.kill();
             node = null;
             life++;
@@ -174,6 +209,10 @@
         void term() {
             if (node != null && !leaving) {
                 leaving = true;
+                member(() -> {
+                    fleet.leave(number);
+                    judge.members().is(number, null);
+                });
                 front.away(number);
                 int ending = life;
                 queue.after(ACCEPT_WHILE_STOPPING_US, () -> endWhenDone(ending));
@@ -362,6 +401,37 @@
         for (int n = 0; n < scenario.nodes().count(); n++) {
             nodes.add(new NodePlace(n));
         }
+        if (scenario.fleet() != null) {
+            fleet = new VirtualFleet(seed, parts.membership(MembershipSettings.DEFAULT
+                    .in(scenario.fleet().periodUs(), scenario.fleet().probeUs())), scenario.nodes().count(),
+                    scenario.nodes().zones(), queue);
+            fleet.watch((viewer, before, after) -> {
+                if (after != null) {
+                    judge.members().viewed(queue.nowUs(), viewer, life(fleet.swim(viewer).self()), line(after));
+                }
+            });
+        }
+    }
+
+    private static String life(Identity who) {
+        return who.generation() + "." + who.nonce();
+    }
+
+    private static MemberJudge.Line line(Member said) {
+        String name = said.identity().name();
+        return new MemberJudge.Line(Integer.parseInt(name.substring(name.indexOf('-') + 1)),
+                life(said.identity()), said.state().name().toLowerCase(Locale.ROOT), said.incarnation());
+    }
+
+    private Map<Integer, Set<Integer>> presentByView() {
+        Map<Integer, Set<Integer>> present = new TreeMap<>();
+        for (NodePlace place : nodes) {
+            if (place.node != null) {
+                present.put(place.number, fleet.view(place.number).members().stream().filter(Member::isPresent)
+                        .map(member -> line(member).of()).collect(Collectors.toSet()));
+            }
+        }
+        return present;
     }
 
     /** Plays it; the judge knows all there is to know. */
@@ -390,6 +460,9 @@
                         + " requests");
             }
         }
+        if (fleet != null && MemberJudge.isDue(scenario)) {
+            judge.members().finish(queue.nowUs(), presentByView());
+        }
         judge.finish(queue.nowUs());
     }
 
@@ -496,6 +569,7 @@
     @Override
     public void node(int number, Fault fault, boolean begins) {
         NodePlace place = nodes.get(number);
+        place.troubled(begins);
         if (fault.kind() == Kind.PAUSE) {
             place.pause(begins);
         } else if (!begins) {
@@ -550,6 +624,13 @@
         }
     }
 
+    @Override
+    public void memberLink(int first, int second, Fault fault, boolean begins) {
+        fleet.link(first, second, fault, begins);
+        nodes.get(first).troubled(begins);
+        nodes.get(second).troubled(begins);
+    }
+
     @Override
     public void clientLink(int node, Fault fault, boolean begins) {
         NodePlace place = nodes.get(node);
--- /dev/null
+++ b/rig/src/test/java/tansypass/rig/explore/MemberFaultsTest.java
@@ -0,0 +1,76 @@
+package tansypass.rig.explore;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Optional;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import tansypass.fleet.membership.MembershipSettings;
+import tansypass.rig.Worlds;
+import tansypass.rig.judge.Judge;
+import tansypass.rig.judge.Rule;
+import tansypass.rig.scenario.Scenario;
+import tansypass.rig.scenario.ScenarioToml;
+import tansypass.rig.virtual.NodeParts;
+import tansypass.rig.virtual.VirtualRun;
+
+/** Exploring finds what breaks the rules of membership, and the product's own breaks none. */
+@Timeout(120)
+class MemberFaultsTest {
+    private static final long BUDGET_MS = 40_000;
+    private static final int MOST = 60;
+    private static final Scenario WORLD = Worlds.of(Worlds.SMALL.replace("[clients]", """
+            [fleet]
+            period = "200ms"
+            [clients]""").replaceFirst("length = \"[^\"]*\"", "length = \"8s\"")
+            .replaceFirst("(?m)^settle = .*$", "settle = \"6s\"")
+            + Worlds.fault("cut", "\"node-1\", \"node-*\"", "1s", "4s", ""));
+
+    private static Optional<Explorer.Found> explore(NodeParts parts) throws InterruptedException {
+        return new Explorer(WORLD, (scenario, seed) -> VirtualRun.play(scenario, seed, parts))
+                .explore(1, BUDGET_MS, MOST, 2).found();
+    }
+
+    private static void finds(Rule rule, NodeParts planted) throws InterruptedException {
+        Explorer.Found found = explore(planted).orElseThrow(() -> new AssertionError("not found"));
+        assertEquals(rule, found.breach().rule(), found.toString());
+        assertTrue(found.smallest().faults().size() <= 1, found.toString());
+        Scenario kept = Worlds.of(ScenarioToml.of(found.smallest()));
+        Judge again = VirtualRun.play(kept, found.seed(), planted);
+        assertTrue(again.breaches().contains(found.breach()), found + " is not in " + again.breaches());
+        assertEquals(List.of(), VirtualRun.play(kept, found.seed()).breaches());
+    }
+
+    @Test
+    void theProductsOwnMembershipKeepsTheRules() throws InterruptedException {
+        assertEquals(Optional.empty(), explore(NodeParts.OWN));
+    }
+
+    @Test
+    void membersThatTakeAnySilenceForDeathAreFound() throws InterruptedException {
+        finds(Rule.MEMBER_FAILED, new NodeParts() {
+            @Override
+            public MembershipSettings membership(MembershipSettings own) {
+                return new MembershipSettings(own.periodUs(), own.probes(), 100, own.helpers(), own.gossipUs(),
+                        own.gossipPeers(), 1e-4, 1, own.spread(), own.exchangeUs(), own.reconnectUs(),
+                        own.forgetUs(), own.most());
+            }
+        });
+    }
+
+    @Test
+    void membersThatNeverTryTheLostAgainAreFound() throws InterruptedException {
+        long never = 100_000_000_000L;
+        finds(Rule.MEMBERS_AGREE, new NodeParts() {
+            @Override
+            public MembershipSettings membership(MembershipSettings own) {
+                return new MembershipSettings(own.periodUs(), own.probes(), own.probeUs(), own.helpers(),
+                        own.gossipUs(), own.gossipPeers(), own.suspicion(), own.patience(), own.spread(), never,
+                        never, own.forgetUs(), own.most());
+            }
+        });
+    }
+}
--- /dev/null
+++ b/rig/src/test/java/tansypass/rig/judge/MemberJudgeTest.java
@@ -0,0 +1,90 @@
+package tansypass.rig.judge;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import tansypass.rig.Worlds;
+import tansypass.rig.judge.MemberJudge.Line;
+
+/** The rules of membership, each with what breaks it. */
+class MemberJudgeTest {
+    private static final long S = 1_000_000;
+
+    private final Judge judge = new Judge(Worlds.of(Worlds.SMALL.replace("[clients]", "[fleet]\n[clients]")));
+    private final MemberJudge members = judge.members();
+
+    @BeforeEach
+    void up() {
+        members.is(0, "a");
+        members.is(1, "b");
+    }
+
+    private void seen(long nowUs, String life, String state, long incarnation) {
+        members.viewed(nowUs, 0, "a", new Line(1, life, state, incarnation));
+    }
+
+    private void broken(Rule... rules) {
+        assertEquals(List.of(rules), judge.breaches().stream().map(Breach::rule).toList(),
+                judge.breaches().toString());
+    }
+
+    @Test
+    void oneThatIsUpAndHadNoFaultMustNotFail() {
+        seen(1, "b", "alive", 0);
+        seen(2, "b", "suspect", 0);
+        broken();
+        seen(3, "b", "failed", 0);
+        seen(4, "b", "failed", 0);
+        broken(Rule.MEMBER_FAILED);
+    }
+
+    @Test
+    void oneWithAFaultMayAndForAWhileAfterIt() {
+        members.troubled(1, true, 0);
+        seen(S, "b", "failed", 0);
+        members.troubled(1, false, 2 * S);
+        seen(2 * S, "b", "alive", 1);
+        seen(20 * S, "b", "failed", 1);
+        broken();
+        seen(40 * S, "b", "alive", 2);
+        seen(41 * S, "b", "failed", 2);
+        broken(Rule.MEMBER_FAILED);
+    }
+
+    @Test
+    void anEarlierLifeMayFailAndTheTimeIsTaken() {
+        seen(0, "b", "alive", 0);
+        members.died(1, S);
+        members.is(1, "c");
+        seen(3 * S, "b", "failed", 0);
+        broken();
+        assertEquals(2 * S, members.deaths().get(0).lastUs());
+    }
+
+    @Test
+    void oldNewsMustBringNobodyBack() {
+        members.troubled(1, true, 0);
+        seen(1, "b", "failed", 3);
+        seen(2, "b", "alive", 4);
+        broken();
+        seen(3, "b", "failed", 4);
+        seen(4, "b", "alive", 4);
+        broken(Rule.MEMBER_RETURNED);
+        seen(5, "c", "left", 0);
+        seen(6, "c", "alive", 9);
+        broken(Rule.MEMBER_RETURNED, Rule.MEMBER_RETURNED);
+    }
+
+    @Test
+    void atTheEndEachViewHasJustThoseThatAreUp() {
+        members.finish(S, Map.of(0, Set.of(0, 1), 1, Set.of(0, 1)));
+        broken();
+        members.finish(S, Map.of(0, Set.of(0, 1, 2), 1, Set.of(0, 1)));
+        broken(Rule.MEMBERS_AGREE);
+    }
+}
--- /dev/null
+++ b/rig/src/test/java/tansypass/rig/model/MeshTest.java
@@ -0,0 +1,48 @@
+package tansypass.rig.model;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.stream.IntStream;
+
+import org.junit.jupiter.api.Test;
+import tansypass.rig.scenario.Scenario.Fault;
+import tansypass.rig.scenario.Scenario.Kind;
+import tansypass.rig.scenario.Scenario.Way;
+
+/** What the links between nodes do to datagrams. */
+class MeshTest {
+    private final Mesh mesh = new Mesh(1, (from, to) -> 10);
+
+    private static Fault fault(Kind kind, Way way, double amount, long timeUs) {
+        return new Fault(kind, 0, 0, List.of("node-0", "node-1"), way, amount, timeUs);
+    }
+
+    @Test
+    void aCutOneWayPassesTheOther() {
+        Fault cut = fault(Kind.CUT, Way.THERE, 1, 0);
+        mesh.put(0, 1, cut, true);
+        assertEquals(List.of(), mesh.datagramDueUs(0, 1, 5, 100));
+        assertEquals(List.of(15L), mesh.datagramDueUs(1, 0, 5, 100));
+        assertTrue(mesh.isCut(0, 1));
+        mesh.put(0, 1, cut, false);
+        assertFalse(mesh.isCut(0, 1));
+        mesh.put(0, 1, fault(Kind.CUT, Way.BACK, 1, 0), true);
+        assertEquals(List.of(), mesh.datagramDueUs(1, 0, 5, 100));
+        assertEquals(List.of(15L), mesh.datagramDueUs(0, 1, 5, 100));
+    }
+
+    @Test
+    void aShareIsLostDoubledOrOvertaken() {
+        for (Kind kind : List.of(Kind.LOSS, Kind.DUPLICATE, Kind.REORDER)) {
+            Mesh own = new Mesh(2, (from, to) -> 0);
+            own.put(0, 1, fault(kind, Way.BOTH, 0.3, 50), true);
+            List<List<Long>> due = IntStream.range(0, 10_000).mapToObj(i -> own.datagramDueUs(0, 1, 0, 1)).toList();
+            List<Long> hit = kind == Kind.LOSS ? List.of() : kind == Kind.REORDER ? List.of(50L) : List.of(0L, 0L);
+            assertEquals(0.3, due.stream().filter(hit::equals).count() / 1e4, 0.02, kind.toString());
+            assertEquals(10_000, due.stream().filter(d -> d.equals(hit) || d.equals(List.of(0L))).count());
+        }
+    }
+}
