Test the messages of faults on links between nodes

Need: the kinds of faults and of links have grown, and two texts of the test with them; a link between nodes without [fleet] gets its own.

--- a/rig/src/test/java/tansypass/rig/scenario/ScenarioFileTest.java
+++ b/rig/src/test/java/tansypass/rig/scenario/ScenarioFileTest.java
@@ -20,12 +20,14 @@
     void aFaultThatCannotBeOnWhatItNamesIsNamedByItsLine() {
         assertEquals(List.of("23 faults[0].on: this kind of fault can't be on server-0; links are from node"
                 + " to"
-                + " server, or from clients to node"), faults(Worlds.fault("term", "\"server-0\"", "1s",
+                + " server or node, or from clients to node"), faults(Worlds.fault("term", "\"server-0\"", "1s",
                 "1s", "")));
         assertEquals(List.of("23 faults[0].on: \"server-9\" is not there: they are numbered 0 to 3"),
                 faults(Worlds.fault("kill", "\"server-9\"", "1s", "1s", "")));
         assertEquals(List.of("23 faults[0].on: a fault of a link needs its two ends"),
                 faults(Worlds.fault("cut", "\"node-0\"", "1s", "1s", "")));
+        assertEquals(List.of("23 faults[0].on: is a link between nodes, which need [fleet] to have one"),
+                faults(Worlds.fault("cut", "\"node-0\", \"node-1\"", "1s", "1s", "")));
     }
 
     @Test
@@ -34,7 +36,7 @@
                 "22 faults[0].kind: \"burn\" is not allowed; allowed: one of kill, term, pause, drain,"
                 + " choke, hang,"
                 + " errors, silence, cut, delay, jitter, rate, reset,"
-                + " loss, half-open",
+                + " loss, half-open, duplicate, reorder",
                 "23 faults[0].on: a list is not allowed; allowed: a list of texts, each node-N, server-N,"
                 + " node-*,"
                 + " server-*, clients or discovery",
