Measure membership beside all-to-all heartbeats, by size, with curves; say how long views differ

Need: figures of membership stood alone, at one size a call, and views that differ were named without a time.

--- a/cli/src/main/java/tansypass/cli/FleetCommand.java
+++ b/cli/src/main/java/tansypass/cli/FleetCommand.java
@@ -1,6 +1,10 @@
 package tansypass.cli;
 
+import java.io.IOException;
 import java.io.PrintWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
 import java.util.concurrent.Callable;
 
 import picocli.CommandLine.Command;
@@ -8,32 +12,61 @@
 import picocli.CommandLine.Option;
 import picocli.CommandLine.ParameterException;
 import picocli.CommandLine.Spec;
+import tansypass.rig.report.FleetPlot;
 import tansypass.rig.virtual.FleetFigures;
 
-/** Membership's times and cost at a size. */
+/** Membership's times and cost by size. */
 @Command(name = "fleet", mixinStandardHelpOptions = true,
         description = "Measure membership in virtual time: how soon a death, a start and a healed partition"
-                + " are in"
-            + " all views, and what it costs.")
+            + " are in all views, what it costs, and how often it is wrong.")
 final class FleetCommand implements Callable<Integer> {
-    @Option(names = "--nodes", defaultValue = "50", description = "processes; default 50")
-    private int nodes;
+    @Option(names = "--nodes", split = ",", defaultValue = "50", description = "sizes; default 50")
+    private List<Integer> sizes;
     @Option(names = "--loss", defaultValue = "0", description = "share of datagrams lost; default 0")
     private double loss;
     @Option(names = "--seeds", defaultValue = "5", description = "plays, of the seeds from 1 on; default 5")
     private int seeds;
+    @Option(names = "--threads", defaultValue = "2", description = "plays at once; default 2")
+    private int threads;
+    @Option(names = "--baseline", description = "beside it, heartbeats from all to all")
+    private boolean baseline;
+    @Option(names = "--hour", description = "instead: who is wrongly failed in an hour, and in one in which a tenth"
+            + " stands still for 1 to 3 s again and again")
+    private boolean hour;
+    @Option(names = "--json", paramLabel = "OUT", description = "where the figures go as JSON")
+    private Path json;
+    @Option(names = "--plot", paramLabel = "OUT", description = "where curves over the sizes go as PNG")
+    private Path plot;
     @Spec
     private CommandSpec spec;
 
     @Override
-    public Integer call() {
-        if (nodes < 3 || nodes > 5_000 || loss < 0 || loss >= 1 || seeds < 1) {
+    public Integer call() throws InterruptedException, IOException {
+        if (sizes.stream().anyMatch(n -> n < 3 || n > 5_000) || loss < 0 || loss >= 1 || seeds < 1 || threads < 1) {
             throw new ParameterException(spec.commandLine(),
-                    "--nodes is from 3 to 5000, --loss from 0 to under 1, --seeds from 1");
+                    "--nodes are from 3 to 5000, --loss from 0 to under 1, --seeds and --threads from 1");
+        }
+        FleetFigures figures = new FleetFigures();
+        List<String> kinds = FleetFigures.kindNames();
+        for (int size : sizes) {
+            for (String kind : baseline ? kinds : kinds.subList(0, 1)) {
+                if (hour) {
+                    figures.hour(kind, size, loss, false, seeds, threads);
+                    figures.hour(kind, size, loss, true, seeds, threads);
+                } else {
+                    figures.measure(kind, size, loss, seeds, threads);
+                }
+            }
         }
         PrintWriter out = spec.commandLine().getOut();
-        out.print(FleetFigures.measure(nodes, loss, seeds));
+        out.print(figures.text());
         out.flush();
+        if (json != null) {
+            Files.writeString(json, figures.json());
+        }
+        if (plot != null) {
+            FleetPlot.write(figures.rows(), plot.toFile());
+        }
         return Exit.OK;
     }
 }
--- a/cli/src/main/java/tansypass/cli/MembersCommand.java
+++ b/cli/src/main/java/tansypass/cli/MembersCommand.java
@@ -3,8 +3,10 @@
 import java.io.IOException;
 import java.io.PrintWriter;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.TreeSet;
@@ -26,7 +28,7 @@
 @Command(name = "members", mixinStandardHelpOptions = true,
         description = "Show what a process holds to be the fleet. Exit code 3 with --all: they disagree.")
 final class MembersCommand implements Callable<Integer> {
-    private static final String ROW = "%-16s %-9s %-10s %-9s %15s %5s  %s%n";
+    private static final String ROW = "%-16s %-9s %-10s %-9s %15s %5s %9s  %s%n";
 
     @Parameters(paramLabel = "FLEET", description = "the process's fleet address, such as 127.0.0.1:7946")
     private String address;
@@ -41,11 +43,12 @@
         JsonObject view = view(address);
         out.printf("%s of %s, %s, view %s version %s%n", text(view, "name"), text(view, "deployment"),
                 text(view, "standing"), text(view, "digest"), text(view, "version"));
-        out.printf(ROW, "member", "state", "zone", "role", "generation", "inc", "address");
+        out.printf(ROW, "member", "state", "zone", "role", "generation", "inc", "for, s", "address");
         for (JsonElement line : members(view)) {
             JsonObject member = line.getAsJsonObject();
             out.printf(ROW, text(member, "name"), text(member, "state"), text(member, "zone"),
-                    text(member, "role"), text(member, "gen"), text(member, "inc"), text(member, "at"));
+                    text(member, "role"), text(member, "gen"), text(member, "inc"),
+                    seconds(text(member, "for_ms")), text(member, "at"));
         }
         int code = all ? compare(view, out) : Exit.OK;
         out.flush();
@@ -70,9 +73,14 @@
         return of.has(key) ? of.get(key).getAsString().replaceAll("\\p{Cntrl}", "?") : "?";
     }
 
+    private static String seconds(String ms) {
+        return ms.matches("[0-9]{1,15}") ? String.format(Locale.ROOT, "%.1f", Long.parseLong(ms) / 1e3) : ms;
+    }
+
     /** Asks each that is present, and shows every member of whom two say something different. */
     private int compare(JsonObject first, PrintWriter out) {
         Map<String, Map<String, String>> said = new TreeMap<>();
+        Map<String, Long> shortestMs = new HashMap<>();
         List<String> silent = new ArrayList<>();
         for (JsonElement line : members(first)) {
             JsonObject member = line.getAsJsonObject();
@@ -84,6 +92,7 @@
                 for (JsonElement other : members(view(text(member, "at")))) {
                     JsonObject of = other.getAsJsonObject();
                     states.put(text(of, "name"), text(of, "state") + " " + text(of, "gen"));
+                    shortestMs.merge(text(of, "name"), of.has("for_ms") ? of.get("for_ms").getAsLong() : 0, Math::min);
                 }
                 said.put(text(member, "name"), states);
             } catch (IOException e) {
@@ -99,7 +108,8 @@
                     s -> new ArrayList<>()).add(who));
             if (by.size() > 1) {
                 differences++;
-                out.println("disagreed about " + name + ": " + by);
+                // Nobody has changed its mind since then.
+                out.println("disagreed about " + name + " for " + seconds(shortestMs.get(name).toString()) + " s: " + by);
             }
         }
         silent.forEach(name -> out.println("no answer from " + name));
--- a/cli/src/main/java/tansypass/cli/MetricsPage.java
+++ b/cli/src/main/java/tansypass/cli/MetricsPage.java
@@ -58,6 +58,13 @@
         CounterWithCallback.builder().name("tansypass_membership_events_total").labelNames("event")
                 .help("What the membership has counted.").callback(all ->
                         member.counts().forEach((name, count) -> all.call(count, name))).register(registry);
+        GaugeWithCallback.builder().name("tansypass_membership_disagreement_seconds")
+                .help("Since a peer last had the same view; with nobody present to compare with, since the start.")
+                .callback(one -> {
+                    if (member.view() != null) {
+                        one.call((member.view().atUs() - member.view().agreedUs()) / 1e6);
+                    }
+                }).register(registry);
         GaugeWithCallback.builder().name("tansypass_members_present").labelNames("zone")
                 .help("Nodes that this process holds to be present.").callback(all -> {
                     if (member.view() != null) {
--- a/cli/src/test/java/tansypass/cli/MembersTest.java
+++ b/cli/src/test/java/tansypass/cli/MembersTest.java
@@ -108,6 +108,8 @@
         String all = await(0, List.of("4 asked, 0 members disagreed about, 0 silent"), "--all");
         assertTrue(all.startsWith(Exit.OK + "\n"), all);
         processes.get(3).destroyForcibly().waitFor();
+        String died = members(0, "--all");
+        assertTrue(died.startsWith(Exit.NO + "\n") && died.contains("no answer from n3"), died);
         for (int i = 0; i < 3; i++) {
             await(i, List.of(line(3, "failed")));
         }
--- a/fleet/src/main/java/tansypass/fleet/membership/Codec.java
+++ b/fleet/src/main/java/tansypass/fleet/membership/Codec.java
@@ -101,8 +101,13 @@
     }
 
     private static void member(JsonGenerator to, Member member) throws IOException {
-        Identity who = member.identity();
         to.writeStartObject();
+        fields(to, member);
+        to.writeEndObject();
+    }
+
+    private static void fields(JsonGenerator to, Member member) throws IOException {
+        Identity who = member.identity();
         to.writeStringField("name", who.name());
         to.writeNumberField("gen", who.generation());
         to.writeNumberField("nonce", who.nonce());
@@ -117,11 +122,10 @@
         if (!member.by().isEmpty()) {
             to.writeStringField("by", member.by());
         }
-        to.writeEndObject();
     }
 
     /** A whole view, for an exchange. */
-    byte[] exchange(Message.Envelope envelope) {
+    public byte[] exchange(Message.Envelope envelope) {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         try (JsonGenerator to = json.createGenerator(bytes)) {
             to.writeStartObject();
@@ -144,9 +148,14 @@
             to.writeStringField("digest", view.digest());
             to.writeStringField("standing", outside ? "outside" : view.joined() ? "joined" : "joining");
             to.writeNumberField("health_factor", healthFactor);
+            to.writeNumberField("disagreed_ms", (view.atUs() - view.agreedUs()) / 1_000);
             to.writeArrayFieldStart("members");
             for (Member member : view.members()) {
-                member(to, member);
+                to.writeStartObject();
+                fields(to, member);
+                to.writeNumberField("for_ms", (view.atUs()
+                        - view.changedUs().getOrDefault(member.identity().name(), view.atUs())) / 1_000);
+                to.writeEndObject();
             }
             to.writeEndArray();
             to.writeEndObject();
@@ -157,7 +166,7 @@
     }
 
     /** Reads a datagram. */
-    Message read(byte[] datagram) throws BadMessageException {
+    public Message read(byte[] datagram) throws BadMessageException {
         if (datagram.length > MOST_BYTES) {
             throw new BadMessageException("over " + MOST_BYTES + " bytes");
         }
@@ -175,7 +184,7 @@
     }
 
     /** Reads an exchange. */
-    Message.Envelope readExchange(byte[] body, int mostMembers) throws BadMessageException {
+    public Message.Envelope readExchange(byte[] body, int mostMembers) throws BadMessageException {
         if (body.length > MOST_EXCHANGE_BYTES) {
             throw new BadMessageException("over " + MOST_EXCHANGE_BYTES + " bytes");
         }
--- a/fleet/src/main/java/tansypass/fleet/membership/Counters.java
+++ b/fleet/src/main/java/tansypass/fleet/membership/Counters.java
@@ -16,7 +16,8 @@
 
     private final long[] counts = new long[Name.values().length];
 
-    void add(Name name) {
+    /** One more. */
+    public void add(Name name) {
         counts[name.ordinal()]++;
     }
 
--- a/fleet/src/main/java/tansypass/fleet/membership/Member.java
+++ b/fleet/src/main/java/tansypass/fleet/membership/Member.java
@@ -9,7 +9,7 @@
 public record Member(Identity identity, MemberState state, long incarnation, String by) {
 
     /** Another state of the same life. */
-    Member as(MemberState other, long at, String who) {
+    public Member as(MemberState other, long at, String who) {
         return new Member(identity, other, at, who);
     }
 
@@ -19,7 +19,7 @@
     }
 
     /** Whether this takes the place of the other, of the same name. */
-    boolean overrides(Member other) {
+    public boolean overrides(Member other) {
         if (!identity.isSameLife(other.identity)) {
             return identity.isLaterThan(other.identity);
         }
--- a/fleet/src/main/java/tansypass/fleet/membership/MemberTable.java
+++ b/fleet/src/main/java/tansypass/fleet/membership/MemberTable.java
@@ -5,14 +5,17 @@
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.HexFormat;
 import java.util.List;
+import java.util.Map;
 import java.util.SortedMap;
 import java.util.TreeMap;
 
 /** What a process knows of the others and of itself: one line a name, of which the latest news counts. */
 final class MemberTable {
     private final SortedMap<String, Member> members = new TreeMap<>();
+    private final Map<String, Long> changedUs = new HashMap<>();
     private final int most;
     private long version;
     /** Of all that are present, each digest once: an exclusive or has no order. */
@@ -45,12 +48,14 @@
     }
 
     /** Takes it in place of what was there. */
-    void put(Member member) {
+    void put(Member member, long nowUs) {
+        changedUs.put(member.identity().name(), nowUs);
         sum ^= digest(members.put(member.identity().name(), member)) ^ digest(member);
         changed();
     }
 
     void forget(String name) {
+        changedUs.remove(name);
         sum ^= digest(members.remove(name));
         changed();
     }
@@ -60,6 +65,11 @@
         present = null;
     }
 
+    /** By name, when its line last changed. */
+    Map<String, Long> changedUs() {
+        return Map.copyOf(changedUs);
+    }
+
     int size() {
         return members.size();
     }
--- a/fleet/src/main/java/tansypass/fleet/membership/Swim.java
+++ b/fleet/src/main/java/tansypass/fleet/membership/Swim.java
@@ -21,7 +21,7 @@
  * "Lifeguard: Local Health Awareness for More Accurate Failure Detection", 2017). Single-threaded: all calls
  * come from the loop of its {@link Scheduler}. It never blocks and keeps a bounded memory, whatever comes.
  */
-public final class Swim {
+public final class Swim implements Membership {
     /** Probes made for others at once; past it a request is dropped, and the asker counts a nack less. */
     private static final int MOST_ERRANDS = 64;
     /** Strangers asked who they are, at once. */
@@ -71,6 +71,7 @@
     private boolean passingOn;
     private long changedUs;
     private long comparedUs;
+    private long agreedUs;
     /** A later life of this name that is or may be there. */
     private Identity twin;
     /** It is there: this process takes no part until it is gone. */
@@ -112,7 +113,9 @@
     // ---------------------------------------------------------------- life
 
     /** Begins to join, probe and exchange. */
+    @Override
     public void start() {
+        agreedUs = scheduler.nowUs();
         announce();
         joined = seeds.isEmpty();
         join();
@@ -127,6 +130,7 @@
     }
 
     /** Says that this process goes, and falls silent. */
+    @Override
     public void leave() {
         if (over) {
             return;
@@ -140,6 +144,7 @@
     }
 
     /** Falls silent without a word. */
+    @Override
     public void stop() {
         over = true;
     }
@@ -161,16 +166,19 @@
     // ---------------------------------------------------------------- what others may ask
 
     /** What this process holds to be the fleet. */
+    @Override
     public View view() {
-        return new View(table.version(), table.digest(), scheduler.nowUs(), joined,
-                List.copyOf(table.all()));
+        return new View(table.version(), table.digest(), scheduler.nowUs(), joined, agreedUs,
+                List.copyOf(table.all()), table.changedUs());
     }
 
+    @Override
     public Counters counters() {
         return counters;
     }
 
     /** Who this process is now; its generation may have grown since the start. */
+    @Override
     public Identity self() {
         return self;
     }
@@ -295,6 +303,7 @@
     // ---------------------------------------------------------------- datagrams
 
     /** A datagram has come; {@code from} is where an answer goes. */
+    @Override
     public void onDatagram(InetSocketAddress from, byte[] datagram) {
         if (over) {
             return;
@@ -335,6 +344,9 @@
         long nowUs = scheduler.nowUs();
         long settledUs = SETTLED_PERIODS * settings.periodUs();
         Member known = table.get(sender.from());
+        if (sender.digest().equals(table.digest())) {
+            agreedUs = nowUs;
+        }
         if (!sender.digest().isEmpty() && !sender.digest().equals(table.digest()) && known != null
                 && known.isPresent() && nowUs - changedUs > settledUs && nowUs >= comparedUs
                 && exchangesOpen == 0) {
@@ -464,6 +476,7 @@
     }
 
     /** Another gives its whole view; the answer is this process's own, or null for what is refused. */
+    @Override
     public byte[] onExchange(byte[] body) {
         return over || outside || !takeView(body) ? null : wholeView();
     }
@@ -587,7 +600,7 @@
     private void put(Member member) {
         String name = member.identity().name();
         Member before = table.get(name);
-        table.put(member);
+        table.put(member, scheduler.nowUs());
         changedUs = scheduler.nowUs();
         news.add(member);
         Suspicion suspicion = suspicions.remove(name);
--- a/fleet/src/main/java/tansypass/fleet/membership/View.java
+++ b/fleet/src/main/java/tansypass/fleet/membership/View.java
@@ -12,9 +12,12 @@
  * @param digest equal in views that have the same processes present
  * @param atUs when it was taken, on the process's own clock
  * @param joined whether the process has met another, or has nobody to meet
+ * @param agreedUs when a peer's datagram last had this digest; the time of the start if none has
  * @param members all lines, itself among them, by name
+ * @param changedUs by name, when its line last changed here
  */
-public record View(long version, String digest, long atUs, boolean joined, List<Member> members) {
+public record View(long version, String digest, long atUs, boolean joined, long agreedUs, List<Member> members,
+        Map<String, Long> changedUs) {
 
     /** How many of a role are present, by zone. */
     public Map<String, Integer> presentByZone(Role role) {
--- /dev/null
+++ b/rig/src/main/java/tansypass/rig/baseline/Heartbeats.java
@@ -0,0 +1,196 @@
+package tansypass.rig.baseline;
+
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.BiConsumer;
+
+import org.apache.commons.rng.UniformRandomProvider;
+import tansypass.fleet.env.Scheduler;
+import tansypass.fleet.membership.BadMessageException;
+import tansypass.fleet.membership.Codec;
+import tansypass.fleet.membership.Counters;
+import tansypass.fleet.membership.Counters.Name;
+import tansypass.fleet.membership.Identity;
+import tansypass.fleet.membership.Member;
+import tansypass.fleet.membership.MemberState;
+import tansypass.fleet.membership.Membership;
+import tansypass.fleet.membership.MembershipSettings;
+import tansypass.fleet.membership.Message;
+import tansypass.fleet.membership.Message.Envelope;
+import tansypass.fleet.membership.Network;
+import tansypass.fleet.membership.View;
+
+/**
+ * What membership is measured against: each process tells each other once a period that it is there, and one that
+ * was not heard of for some periods has failed. Nobody helps, nobody is asked, nothing is passed on.
+ */
+public final class Heartbeats implements Membership {
+    /** About as soon as the product sees a death among fifty. */
+    private static final double MISSED = 4;
+
+    private final MembershipSettings settings;
+    private final Identity self;
+    private final List<InetSocketAddress> seeds;
+    private final Scheduler scheduler;
+    private final UniformRandomProvider random;
+    private final Network network;
+    private final BiConsumer<Member, Member> onChange;
+    private final Codec codec = new Codec();
+    private final Counters counters = new Counters();
+    private final Map<String, Member> members = new TreeMap<>();
+    private final Map<String, Long> heardUs = new HashMap<>();
+    private long version;
+    private boolean over;
+
+    /** One that has not begun. */
+    public Heartbeats(MembershipSettings settings, Identity self, List<InetSocketAddress> seeds,
+            Scheduler scheduler, UniformRandomProvider random, Network network,
+            BiConsumer<Member, Member> onChange) {
+        this.settings = settings;
+        this.self = self;
+        this.seeds = seeds.stream().filter(seed -> !seed.equals(self.address())).toList();
+        this.scheduler = scheduler;
+        this.random = random;
+        this.network = network;
+        this.onChange = onChange;
+        members.put(self.name(), new Member(self, MemberState.ALIVE, 0, ""));
+    }
+
+    @Override
+    public void start() {
+        scheduler.after(random.nextLong(settings.periodUs()) + 1, this::beat);
+        meetSeeds();
+    }
+
+    private void meetSeeds() {
+        if (over || seeds.isEmpty()) {
+            return;
+        }
+        network.exchange(seeds.get(random.nextInt(seeds.size())), wholeView(), answer -> {
+            if (answer != null) {
+                onExchange(answer);
+            }
+        });
+        scheduler.after(settings.reconnectUs(), this::meetSeeds);
+    }
+
+    private byte[] wholeView() {
+        return codec.exchange(envelope(List.copyOf(members.values())));
+    }
+
+    private Envelope envelope(List<Member> news) {
+        return new Envelope(self.deployment(), Codec.VERSION, self.name(), self.generation(), news);
+    }
+
+    private void beat() {
+        if (over) {
+            return;
+        }
+        scheduler.after(settings.periodUs(), this::beat);
+        byte[] word = codec.datagram(new Message.Gossip(envelope(List.of())));
+        for (Member member : List.copyOf(members.values())) {
+            // The failed too: that is how they hear that the way is open again.
+            if (!member.identity().name().equals(self.name()) && member.state() != MemberState.LEFT) {
+                network.send(member.identity().address(), word);
+            }
+        }
+        double longestUs = MISSED * settings.periodUs();
+        heardUs.forEach((name, atUs) -> {
+            Member member = members.get(name);
+            if (member.isPresent() && scheduler.nowUs() - atUs > longestUs) {
+                counters.add(Name.FAILED);
+                put(member.as(MemberState.FAILED, member.incarnation(), ""));
+            }
+        });
+    }
+
+    private void put(Member member) {
+        Member before = members.put(member.identity().name(), member);
+        version++;
+        onChange.accept(before, member);
+    }
+
+    @Override
+    public void leave() {
+        byte[] word = codec.datagram(new Message.Gossip(envelope(List.of(new Member(self, MemberState.LEFT, 0, "")))));
+        members.values().forEach(member -> network.send(member.identity().address(), word));
+        over = true;
+    }
+
+    @Override
+    public void stop() {
+        over = true;
+    }
+
+    @Override
+    public Identity self() {
+        return self;
+    }
+
+    @Override
+    public View view() {
+        StringBuilder present = new StringBuilder();
+        members.values().stream().filter(Member::isPresent).forEach(m -> present.append(m.identity().name())
+                .append(m.identity().generation()).append(' '));
+        return new View(version, present.toString(), scheduler.nowUs(), true, scheduler.nowUs(),
+                List.copyOf(members.values()), Map.of());
+    }
+
+    @Override
+    public Counters counters() {
+        return counters;
+    }
+
+    @Override
+    public void onDatagram(InetSocketAddress from, byte[] datagram) {
+        Envelope envelope;
+        try {
+            envelope = codec.read(datagram).envelope();
+        } catch (BadMessageException e) {
+            counters.add(Name.DROPPED_MALFORMED);
+            return;
+        }
+        if (over) {
+            return;
+        }
+        Member known = members.get(envelope.from());
+        if (known == null || known.identity().generation() < envelope.generation()) {
+            network.exchange(from, wholeView(), answer -> {
+                if (answer != null) {
+                    onExchange(answer);
+                }
+            });
+        } else if (!envelope.news().isEmpty()) {
+            put(envelope.news().get(0));
+        } else {
+            heardUs.put(envelope.from(), scheduler.nowUs());
+            if (known.state() == MemberState.FAILED) {
+                put(known.as(MemberState.ALIVE, known.incarnation(), ""));
+            }
+        }
+    }
+
+    @Override
+    public byte[] onExchange(byte[] body) {
+        Envelope envelope;
+        try {
+            envelope = codec.readExchange(body, settings.most());
+        } catch (BadMessageException e) {
+            counters.add(Name.DROPPED_MALFORMED);
+            return null;
+        }
+        for (Member said : envelope.news()) {
+            String name = said.identity().name();
+            Member known = members.get(name);
+            if (!over && !name.equals(self.name())
+                    && (known == null || known.identity().generation() < said.identity().generation())) {
+                heardUs.put(name, scheduler.nowUs());
+                put(said.as(MemberState.ALIVE, said.incarnation(), ""));
+            }
+        }
+        return over ? null : wholeView();
+    }
+}
--- a/rig/src/main/java/tansypass/rig/model/Mesh.java
+++ b/rig/src/main/java/tansypass/rig/model/Mesh.java
@@ -14,7 +14,8 @@
 public final class Mesh {
     private final long seed;
     private final LongBinaryOperator delayUs;
-    private final Map<String, LinkState> ways = new HashMap<>();
+    /** Only ways that have had a fault; all others are sound. */
+    private final Map<Long, LinkState> ways = new HashMap<>();
 
     /** {@code delayUs} is what a sound way takes from one node to another. */
     public Mesh(long seed, LongBinaryOperator delayUs) {
@@ -22,24 +23,23 @@
         this.delayUs = delayUs;
     }
 
-    /** The way from one to the other; its direction is THERE. */
-    public LinkState way(int from, int to) {
-        return ways.computeIfAbsent(from + ">" + to, name -> new LinkState(delayUs.applyAsLong(from, to),
-                Randoms.of(seed, "member-" + name)));
+    private static long key(int from, int to) {
+        return (long) from << Integer.SIZE | to;
     }
 
     /** A fault begins or ends on the link from the first to the second, on the ways that it names. */
     public void put(int first, int second, Fault fault, boolean begins) {
         if (fault.way() != Way.BACK) {
-            put(way(first, second), fault, begins);
+            putWay(first, second, fault.on(Way.BOTH), begins);
         }
         if (fault.way() != Way.THERE) {
-            put(way(second, first), fault, begins);
+            putWay(second, first, fault.on(Way.BOTH), begins);
         }
     }
 
-    private static void put(LinkState way, Fault fault, boolean begins) {
-        Fault whole = fault.on(Way.BOTH);
+    private void putWay(int from, int to, Fault whole, boolean begins) {
+        LinkState way = ways.computeIfAbsent(key(from, to), made -> new LinkState(delayUs.applyAsLong(from, to),
+                Randoms.of(seed, "member-" + from + ">" + to)));
         if (begins) {
             way.begin(whole);
         } else {
@@ -49,11 +49,20 @@
 
     /** Whether nothing passes from one to the other. */
     public boolean isCut(int from, int to) {
-        return way(from, to).isCut(Direction.THERE);
+        LinkState way = ways.get(key(from, to));
+        return way != null && way.isCut(Direction.THERE);
     }
 
     /** When copies of a datagram come out, as {@link LinkState#datagramDueUs} says. */
     public List<Long> datagramDueUs(int from, int to, long nowUs, int bytes) {
-        return way(from, to).datagramDueUs(Direction.THERE, nowUs, bytes);
+        LinkState way = ways.get(key(from, to));
+        return way == null ? List.of(nowUs + delayUs.applyAsLong(from, to))
+                : way.datagramDueUs(Direction.THERE, nowUs, bytes);
+    }
+
+    /** When a piece of a stream comes out, as {@link LinkState#dueUs} says. */
+    public long streamDueUs(int from, int to, long nowUs, int bytes) {
+        LinkState way = ways.get(key(from, to));
+        return way == null ? nowUs + delayUs.applyAsLong(from, to) : way.dueUs(Direction.THERE, nowUs, bytes);
     }
 }
--- /dev/null
+++ b/rig/src/main/java/tansypass/rig/report/FleetPlot.java
@@ -0,0 +1,76 @@
+package tansypass.rig.report;
+
+import java.awt.BasicStroke;
+import java.awt.Color;
+import java.awt.Font;
+import java.io.File;
+import java.io.IOException;
+import java.util.List;
+
+import org.jfree.chart.ChartUtils;
+import org.jfree.chart.JFreeChart;
+import org.jfree.chart.axis.LogAxis;
+import org.jfree.chart.axis.NumberAxis;
+import org.jfree.chart.plot.CombinedDomainXYPlot;
+import org.jfree.chart.plot.XYPlot;
+import org.jfree.chart.renderer.xy.XYLineAndShapeRenderer;
+import org.jfree.data.xy.XYSeries;
+import org.jfree.data.xy.XYSeriesCollection;
+import tansypass.rig.virtual.FleetFigures.Row;
+import tansypass.rig.virtual.FleetTrial;
+
+/** Membership's figures over the size of the fleet as a picture: each kind a line, the worst seed dashed. */
+public final class FleetPlot {
+    private static final int WIDTH = 900;
+    private static final int HEIGHT_EACH = 260;
+    /** The figures that are drawn, by their index among {@link FleetTrial#NAMES}. */
+    private static final List<Integer> DRAWN = List.of(2, 3, 5, 7);
+    private static final float[] DASHES = {6, 4};
+
+    private FleetPlot() { }
+
+    /** Writes a PNG. */
+    public static void write(List<Row> rows, File file) throws IOException {
+        CombinedDomainXYPlot all = new CombinedDomainXYPlot(new LogAxis("processes"));
+        all.setGap(16);
+        List<String> kinds = rows.stream().map(Row::kind).distinct().toList();
+        for (int index : DRAWN) {
+            all.add(plot(rows, FleetTrial.NAMES.get(index), kinds));
+        }
+        JFreeChart chart = new JFreeChart("Membership by size: median (line) and worst (dashed)",
+                new Font(Font.SANS_SERIF, Font.PLAIN, 16), all, true);
+        chart.setBackgroundPaint(Color.WHITE);
+        ChartUtils.saveChartAsPNG(file, chart, WIDTH, DRAWN.size() * HEIGHT_EACH);
+    }
+
+    private static XYPlot plot(List<Row> rows, String figure, List<String> kinds) {
+        XYSeriesCollection data = new XYSeriesCollection();
+        XYLineAndShapeRenderer renderer = new XYLineAndShapeRenderer(true, true);
+        for (int k = 0; k < kinds.size(); k++) {
+            String kind = kinds.get(k);
+            XYSeries median = new XYSeries(kind);
+            XYSeries worst = new XYSeries(kind + ", worst");
+            rows.stream().filter(r -> r.kind().equals(kind) && r.figure().equals(figure) && r.median() >= 0)
+                    .forEach(r -> {
+                        median.add(r.count(), r.median());
+                        worst.add(r.count(), r.worst());
+                    });
+            data.addSeries(median);
+            data.addSeries(worst);
+            // Told apart in grey too: by shade and by dashes.
+            Color color = k == 0 ? Color.BLACK : Color.GRAY;
+            renderer.setSeriesPaint(2 * k, color);
+            renderer.setSeriesPaint(2 * k + 1, color);
+            renderer.setSeriesStroke(2 * k, new BasicStroke(2));
+            renderer.setSeriesStroke(2 * k + 1, new BasicStroke(1, BasicStroke.CAP_BUTT, BasicStroke.JOIN_MITER, 1,
+                    DASHES, 0));
+        }
+        renderer.setDefaultSeriesVisibleInLegend(figure.equals(FleetTrial.NAMES.get(DRAWN.get(0))));
+        NumberAxis axis = new NumberAxis(figure);
+        axis.setLabelFont(new Font(Font.SANS_SERIF, Font.PLAIN, 10));
+        XYPlot plot = new XYPlot(data, null, axis, renderer);
+        plot.setBackgroundPaint(Color.WHITE);
+        plot.setRangeGridlinePaint(Color.LIGHT_GRAY);
+        return plot;
+    }
+}
--- a/rig/src/main/java/tansypass/rig/virtual/FleetFigures.java
+++ b/rig/src/main/java/tansypass/rig/virtual/FleetFigures.java
@@ -1,94 +1,118 @@
 package tansypass.rig.virtual;
 
 import java.util.ArrayList;
-import java.util.Arrays;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.function.LongFunction;
+import java.util.stream.LongStream;
 
-import tansypass.fleet.membership.Counters;
-import tansypass.fleet.membership.MemberState;
-import tansypass.fleet.membership.MembershipSettings;
+import com.google.gson.Gson;
+import com.google.gson.GsonBuilder;
+import org.apache.commons.math3.stat.StatUtils;
+import tansypass.rig.baseline.Heartbeats;
+import tansypass.rig.virtual.VirtualFleet.Kind;
 
-/** What membership does and costs at a size, in virtual time: medians and worst over seeds. */
+/** What membership does and costs, by size and kind, in virtual time: medians and worst over seeds. */
 public final class FleetFigures {
-    private static final long S = 1_000_000;
-    private static final long MOST_US = 600 * S;
-    private static final long REST_US = 30 * S;
+    /** The product's way and what it is measured against. */
+    private static final Map<String, Kind> KINDS = kinds();
+    private static final Gson JSON = new GsonBuilder().setPrettyPrinting().create();
 
-    private final int count;
-    private final double loss;
-    private final List<double[]> rows = new ArrayList<>();
+    private final List<Row> rows = new ArrayList<>();
 
-    private FleetFigures(int count, double loss) {
-        this.count = count;
-        this.loss = loss;
+    /**
+     * One figure of one size and kind.
+     *
+     * @param missing of how many seeds it never came; they are in neither median nor worst
+     */
+    public record Row(String kind, int count, double loss, String figure, double median, double worst, int seeds,
+            long missing) { }
+
+    private static Map<String, Kind> kinds() {
+        Map<String, Kind> kinds = new LinkedHashMap<>();
+        kinds.put("swim", Kind.SWIM);
+        kinds.put("heartbeats", Heartbeats::new);
+        return kinds;
+    }
+
+    /** The names of the kinds; the first is the product's. */
+    public static List<String> kindNames() {
+        return List.copyOf(KINDS.keySet());
     }
 
-    /** Plays so many seeds, from 1 on, and gives a text. */
-    public static String measure(int count, double loss, int seeds) {
-        FleetFigures figures = new FleetFigures(count, loss);
-        for (int seed = 1; seed <= seeds; seed++) {
-            figures.rows.add(figures.play(seed));
+    /** Times and cost of one size and kind. */
+    public void measure(String kind, int count, double loss, int seeds, int threads) throws InterruptedException {
+        List<double[]> trials = each(seeds, threads,
+                seed -> FleetTrial.play(KINDS.get(kind), count, loss, seed).values());
+        for (int i = 0; i < FleetTrial.NAMES.size(); i++) {
+            add(kind, count, loss, FleetTrial.NAMES.get(i), trials, i);
         }
-        return figures.text();
     }
 
-    private double[] play(long seed) {
-        VirtualFleet fleet = new VirtualFleet(seed, MembershipSettings.DEFAULT, count, List.of("a", "b"));
-        long[] first = {-1};
-        fleet.watch((who, before, after) -> {
-            if (first[0] < 0 && after != null && after.state() == MemberState.FAILED) {
-                first[0] = fleet.nowUs();
-            }
-        });
-        fleet.startAll();
-        double joinS = fleet.runUntilAgreed(MOST_US) / 1e6;
-        fleet.loss(loss);
-        // The news of the start is still passed on for a while.
-        fleet.run(2 * REST_US);
-        long sent = fleet.datagrams();
-        long bytes = fleet.bytes();
-        fleet.run(REST_US);
-        double perS = (fleet.datagrams() - sent) / (REST_US / 1e6) / count;
-        double bytesPerS = (fleet.bytes() - bytes) / (REST_US / 1e6) / count;
-        double wronglyFailed = failed(fleet);
-        first[0] = -1;
-        long diedUs = fleet.nowUs();
-        fleet.kill(count / 2);
-        double allS = fleet.runUntilAgreed(MOST_US) / 1e6;
-        double firstS = first[0] < 0 ? -1 : (first[0] - diedUs) / 1e6;
-        fleet.links((from, to) -> from % 2 == to % 2);
-        fleet.run(2 * REST_US);
-        fleet.links((from, to) -> true);
-        double healS = fleet.runUntilAgreed(MOST_US) / 1e6;
-        return new double[] {joinS, firstS, allS, healS, perS, bytesPerS, wronglyFailed};
+    /** Wrongly failed in an hour of one size and kind; {@code troubled} lets a tenth stand still again and again. */
+    public void hour(String kind, int count, double loss, boolean troubled, int seeds, int threads)
+            throws InterruptedException {
+        List<double[]> trials = each(seeds, threads,
+                seed -> FleetTrial.hour(KINDS.get(kind), count, loss, troubled, seed));
+        if (troubled) {
+            add(kind, count, loss, "wrongly failed in an hour, of those that stand still", trials, 0);
+        }
+        add(kind, count, loss, "wrongly failed in an hour" + (troubled ? ", of the others" : ""), trials, 1);
     }
 
-    private double failed(VirtualFleet fleet) {
-        long failed = 0;
-        for (int i = 0; i < count; i++) {
-            failed += fleet.swim(i).counters().get(Counters.Name.FAILED);
+    private static List<double[]> each(int seeds, int threads, LongFunction<double[]> trial)
+            throws InterruptedException {
+        ExecutorService pool = Executors.newFixedThreadPool(threads);
+        try {
+            List<Future<double[]>> futures = LongStream.rangeClosed(1, seeds)
+                    .mapToObj(seed -> pool.submit(() -> trial.apply(seed))).toList();
+            List<double[]> values = new ArrayList<>();
+            for (Future<double[]> future : futures) {
+                values.add(future.get());
+            }
+            return values;
+        } catch (ExecutionException e) {
+            throw new IllegalStateException("a trial failed", e.getCause());
+        } finally {
+            pool.shutdownNow();
         }
-        return failed;
     }
 
-    private String text() {
-        String[] names = {"all agree after a start at once, s", "a death is seen by the first, s",
-            "and by all, s", "all agree after a partition in halves of 60 s, s",
-            "datagrams a second of a process at rest", "bytes a second of them",
-            "wrongly failed in 90 s with that loss"};
-        StringBuilder text = new StringBuilder(String.format(Locale.ROOT,
-                "%d processes, %.0f %% of datagrams lost, %d seeds: median, worst%n", count, loss * 100,
-                rows.size()));
-        for (int i = 0; i < names.length; i++) {
-            int column = i;
-            double[] values = rows.stream().mapToDouble(row -> row[column]).toArray();
-            // -1 stands for never: no median hides it.
-            boolean never = Arrays.stream(values).anyMatch(v -> v < 0);
-            Arrays.sort(values);
-            text.append(String.format(Locale.ROOT, "  %-50s %9.2f %9.2f%s%n", names[i],
-                    values[values.length / 2], values[values.length - 1], never ? "  (not always)" : ""));
+    private void add(String kind, int count, double loss, String figure, List<double[]> trials, int index) {
+        // -1 stands for never: no median hides it.
+        double[] came = trials.stream().mapToDouble(values -> values[index]).filter(v -> v >= 0).toArray();
+        rows.add(new Row(kind, count, loss, figure, came.length == 0 ? -1 : StatUtils.percentile(came, 50),
+                came.length == 0 ? -1 : StatUtils.max(came), trials.size(), trials.size() - came.length));
+    }
+
+    /** All rows so far. */
+    public List<Row> rows() {
+        return List.copyOf(rows);
+    }
+
+    /** For people. */
+    public String text() {
+        StringBuilder text = new StringBuilder();
+        String head = "";
+        for (Row row : rows) {
+            String of = String.format(Locale.ROOT, "%s, %d processes, %.0f %% of datagrams lost, %d seeds: "
+                    + "median, worst%n", row.kind, row.count, row.loss * 100, row.seeds);
+            text.append(of.equals(head) ? "" : of);
+            head = of;
+            text.append(String.format(Locale.ROOT, "  %-52s %10.2f %10.2f%s%n", row.figure, row.median, row.worst,
+                    row.missing == 0 ? "" : "  (never in " + row.missing + ")"));
         }
         return text.toString();
     }
+
+    /** For programs. */
+    public String json() {
+        return JSON.toJson(rows);
+    }
 }
--- a/rig/src/main/java/tansypass/rig/virtual/VirtualFleet.java
+++ b/rig/src/main/java/tansypass/rig/virtual/VirtualFleet.java
@@ -12,19 +12,21 @@
 import java.util.HexFormat;
 import java.util.List;
 import java.util.Map;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 
 import org.apache.commons.rng.UniformRandomProvider;
 import tansypass.fleet.env.Randoms;
+import tansypass.fleet.env.Scheduler;
 import tansypass.fleet.membership.Codec;
 import tansypass.fleet.membership.Identity;
 import tansypass.fleet.membership.Member;
 import tansypass.fleet.membership.MembershipSettings;
+import tansypass.fleet.membership.Membership;
 import tansypass.fleet.membership.Network;
 import tansypass.fleet.membership.Role;
 import tansypass.fleet.membership.Swim;
 import tansypass.fleet.membership.View;
-import tansypass.rig.model.LinkState.Direction;
 import tansypass.rig.model.Mesh;
 import tansypass.rig.scenario.Scenario.Fault;
 
@@ -43,6 +45,7 @@
     private final MembershipSettings settings;
     private final List<String> zones;
     private final EventQueue queue;
+    private final Kind kind;
     private final Mesh mesh;
     private final UniformRandomProvider random;
     private final List<Place> places = new ArrayList<>();
@@ -54,6 +57,18 @@
     private long delayUs = 500;
     private long datagrams;
     private long bytes;
+    private long exchanged;
+
+    /** How its processes keep their membership. */
+    public interface Kind {
+        /** The product's way. */
+        Kind SWIM = Swim::new;
+
+        /** A part that has not begun. */
+        Membership make(MembershipSettings settings, Identity self, List<InetSocketAddress> seeds,
+                Scheduler scheduler, UniformRandomProvider random, Network network,
+                BiConsumer<Member, Member> onChange);
+    }
 
     /** Which way datagrams pass. */
     public interface Links {
@@ -70,7 +85,7 @@
         private final InetSocketAddress address;
         private final String name;
         private VirtualProcess process;
-        private Swim swim;
+        private Membership member;
         private int lives;
 
         Place(int number, String name) {
@@ -82,11 +97,12 @@
 
     /** Nobody is started yet. */
     public VirtualFleet(long seed, MembershipSettings settings, int count, List<String> zones) {
-        this(seed, settings, count, zones, new EventQueue());
+        this(seed, settings, count, zones, new EventQueue(), Kind.SWIM);
     }
 
     /** The same in a world that has its time already. */
-    VirtualFleet(long seed, MembershipSettings settings, int count, List<String> zones, EventQueue queue) {
+    VirtualFleet(long seed, MembershipSettings settings, int count, List<String> zones, EventQueue queue, Kind kind) {
+        this.kind = kind;
         this.queue = queue;
         mesh = new Mesh(seed, (from, to) -> 0);
         this.seed = seed;
@@ -133,13 +149,13 @@
                 own.nextLong(),
                 zones.get(number % zones.size()), Role.NODE, place.address, deployment, Codec.VERSION,
                 Codec.VERSION);
-        place.swim = new Swim(settings, identity, seeds.stream().map(s -> places.get(s).address).toList(),
+        place.member = kind.make(settings, identity, seeds.stream().map(s -> places.get(s).address).toList(),
                 place.process, own, new Wire(place), (before, after) -> {
                     note(number, after == null ? "forgotten" : after.identity().name() + after.state()
                             + after.incarnation());
                     watcher.changed(number, before, after);
                 });
-        place.swim.start();
+        place.member.start();
     }
 
     /** Starts them all at once, each with process 0 for its seed. */
@@ -152,12 +168,12 @@
     /** SIGKILL. */
     public void kill(int number) {
         places.get(number).process.kill();
-        places.get(number).swim.stop();
+        places.get(number).member.stop();
     }
 
     /** Leaves as planned, and ends. */
     public void leave(int number) {
-        places.get(number).swim.leave();
+        places.get(number).member.leave();
         places.get(number).process.kill();
     }
 
@@ -189,7 +205,7 @@
     /** Brings one a datagram that no process sent. */
     public void inject(int to, byte[] datagram) {
         Place place = places.get(to);
-        place.process.reach(() -> place.swim.onDatagram(address(places.size()), datagram));
+        place.process.reach(() -> place.member.onDatagram(address(places.size()), datagram));
     }
 
     public void watch(Change change) {
@@ -207,12 +223,18 @@
         return queue.nowUs();
     }
 
+    /** One's part, where all are of the product's kind. */
     public Swim swim(int number) {
-        return places.get(number).swim;
+        return (Swim) places.get(number).member;
+    }
+
+    /** One's part, of whatever kind. */
+    public Membership member(int number) {
+        return places.get(number).member;
     }
 
     public View view(int number) {
-        return places.get(number).swim.view();
+        return places.get(number).member.view();
     }
 
     public boolean isUp(int number) {
@@ -255,6 +277,11 @@
         return bytes;
     }
 
+    /** Bytes in full exchanges so far. */
+    public long exchanged() {
+        return exchanged;
+    }
+
     /** The same for the same seed and the same done to it. */
     public String traceHash() {
         try {
@@ -280,7 +307,7 @@
 
     /** What faults add to a stream's way. */
     private long heldUs(int from, int to, int bytes) {
-        return mesh.way(from, to).dueUs(Direction.THERE, queue.nowUs(), bytes) - queue.nowUs();
+        return mesh.streamDueUs(from, to, queue.nowUs(), bytes) - queue.nowUs();
     }
 
     /** The network as one process has it. */
@@ -307,13 +334,14 @@
         private void arrive(Place place, byte[] datagram) {
             VirtualProcess process = place.process;
             if (process != null && (!process.isPaused() || process.waiting() < KERNEL_KEEPS)) {
-                Swim swim = place.swim;
-                process.reach(() -> swim.onDatagram(from.address, datagram));
+                Membership member = place.member;
+                process.reach(() -> member.onDatagram(from.address, datagram));
             }
         }
 
         @Override
         public void exchange(InetSocketAddress to, byte[] body, Consumer<byte[]> answer) {
+            exchanged += body.length;
             VirtualProcess asking = from.process;
             boolean[] done = new boolean[1];
             Consumer<byte[]> once = result -> asking.reach(() -> {
@@ -328,9 +356,10 @@
                     || !links.passes(place.number, from.number) || isCut(from.number, place.number)) {
                 return;
             }
-            Swim swim = place.swim;
+            Membership member = place.member;
             queue.after(2 * wayUs() + heldUs(from.number, place.number, body.length), () -> place.process.reach(() -> {
-                byte[] result = swim.onExchange(body);
+                byte[] result = member.onExchange(body);
+                exchanged += result == null ? 0 : result.length;
                 queue.after(wayUs() + heldUs(place.number, from.number, body.length),
                         () -> once.accept(result));
             }));
--- a/rig/src/main/java/tansypass/rig/virtual/VirtualRun.java
+++ b/rig/src/main/java/tansypass/rig/virtual/VirtualRun.java
@@ -404,7 +404,8 @@
         if (scenario.fleet() != null) {
             fleet = new VirtualFleet(seed, parts.membership(MembershipSettings.DEFAULT
                     .in(scenario.fleet().periodUs(), scenario.fleet().probeUs())), scenario.nodes().count(),
-                    scenario.nodes().zones(), queue);
+                    scenario.nodes().zones(), queue,
+                    VirtualFleet.Kind.SWIM);
             fleet.watch((viewer, before, after) -> {
                 if (after != null) {
                     judge.members().viewed(queue.nowUs(), viewer, life(fleet.swim(viewer).self()), line(after));
--- /dev/null
+++ b/rig/src/test/java/tansypass/rig/virtual/FleetFiguresTest.java
@@ -0,0 +1,69 @@
+package tansypass.rig.virtual;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.File;
+import java.nio.file.Path;
+import java.util.List;
+
+import javax.imageio.ImageIO;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import tansypass.rig.report.FleetPlot;
+import tansypass.rig.virtual.FleetFigures.Row;
+
+/** Membership's figures, and those of what it is measured against. */
+@Timeout(120)
+class FleetFiguresTest {
+    @TempDir
+    private Path folder;
+
+    private static Row row(FleetFigures figures, String kind, String figure) {
+        return figures.rows().stream().filter(r -> r.kind().equals(kind) && r.figure().equals(figure)).findFirst()
+                .orElseThrow();
+    }
+
+    @Test
+    void bothKindsSeeADeathAndHealAndOnlyTheBaselineIsWrongUnderLoss() throws Exception {
+        FleetFigures figures = new FleetFigures();
+        for (String kind : FleetFigures.kindNames()) {
+            figures.measure(kind, 8, 0.2, 3, 2);
+        }
+        assertEquals(2 * FleetTrial.NAMES.size(), figures.rows().size());
+        for (Row row : figures.rows()) {
+            assertEquals(0, row.missing(), row.toString());
+            assertTrue(row.worst() >= row.median(), row.toString());
+        }
+        assertEquals(0, row(figures, "swim", "wrongly failed in 90 s").worst());
+        assertTrue(row(figures, "heartbeats", "wrongly failed in 90 s").median() > 0);
+        File picture = folder.resolve("plot.png").toFile();
+        FleetPlot.write(figures.rows(), picture);
+        assertTrue(ImageIO.read(picture).getHeight() > 500);
+        assertTrue(figures.json().contains("\"heartbeats\""));
+    }
+
+    @Test
+    void whatTheBaselineSendsGrowsWithTheFleetAndTheProductsDoesNot() throws Exception {
+        FleetFigures figures = new FleetFigures();
+        for (int count : new int[] {10, 30}) {
+            for (String kind : FleetFigures.kindNames()) {
+                figures.measure(kind, count, 0, 1, 1);
+            }
+        }
+        for (String kind : FleetFigures.kindNames()) {
+            List<Double> sent = figures.rows().stream()
+                    .filter(r -> r.kind().equals(kind) && r.figure().startsWith("datagrams a second"))
+                    .map(Row::median).toList();
+            assertEquals(kind.equals("swim") ? 1 : 29.0 / 9, sent.get(1) / sent.get(0), 0.1, kind);
+        }
+    }
+
+    @Test
+    void aTenthThatStandsStillAgainAndAgainFailsNobodyElse() {
+        double[] failed = FleetTrial.hour(VirtualFleet.Kind.SWIM, 10, 0, true, 1);
+        assertEquals(0, failed[1]);
+    }
+}
