--- a/cli/src/main/java/tansypass/cli/FleetCommand.java
+++ b/cli/src/main/java/tansypass/cli/FleetCommand.java
@@ -30,8 +30,8 @@
     private int threads;
     @Option(names = "--baseline", description = "beside it, heartbeats from all to all")
     private boolean baseline;
-    @Option(names = "--hour", description = "instead: who is wrongly failed in an hour, and in one in which a tenth"
-            + " stands still for 1 to 3 s again and again")
+    @Option(names = "--hour", description = "instead: who is wrongly failed in an hour, and in one in which"
+            + " a tenth stands still for 1 to 3 s again and again")
     private boolean hour;
     @Option(names = "--json", paramLabel = "OUT", description = "where the figures go as JSON")
     private Path json;
@@ -42,7 +42,8 @@
 
     @Override
     public Integer call() throws InterruptedException, IOException {
-        if (sizes.stream().anyMatch(n -> n < 3 || n > 5_000) || loss < 0 || loss >= 1 || seeds < 1 || threads < 1) {
+        if (sizes.stream().anyMatch(n -> n < 3 || n > 5_000) || loss < 0 || loss >= 1 || seeds < 1
+                || threads < 1) {
             throw new ParameterException(spec.commandLine(),
                     "--nodes are from 3 to 5000, --loss from 0 to under 1, --seeds and --threads from 1");
         }
--- a/cli/src/main/java/tansypass/cli/MembersCommand.java
+++ b/cli/src/main/java/tansypass/cli/MembersCommand.java
@@ -92,7 +92,8 @@
                 for (JsonElement other : members(view(text(member, "at")))) {
                     JsonObject of = other.getAsJsonObject();
                     states.put(text(of, "name"), text(of, "state") + " " + text(of, "gen"));
-                    shortestMs.merge(text(of, "name"), of.has("for_ms") ? of.get("for_ms").getAsLong() : 0, Math::min);
+                    shortestMs.merge(text(of, "name"), of.has("for_ms") ? of.get("for_ms").getAsLong() : 0,
+                            Math::min);
                 }
                 said.put(text(member, "name"), states);
             } catch (IOException e) {
@@ -109,7 +110,8 @@
             if (by.size() > 1) {
                 differences++;
                 // Nobody has changed its mind since then.
-                out.println("disagreed about " + name + " for " + seconds(shortestMs.get(name).toString()) + " s: " + by);
+                out.println("disagreed about " + name + " for " + seconds(shortestMs.get(name).toString())
+                        + " s: " + by);
             }
         }
         silent.forEach(name -> out.println("no answer from " + name));
--- a/cli/src/main/java/tansypass/cli/Membership.java
+++ b/cli/src/main/java/tansypass/cli/Membership.java
@@ -30,7 +30,8 @@
         Identity self = new Identity(file.name(), System.currentTimeMillis(), random.nextLong(), file.zone(),
                 Role.NODE, file.fleet().advertise(), file.fleet().deployment(), Codec.VERSION, Codec.VERSION);
         FleetMember member = new FleetMember(MembershipSettings.DEFAULT.in(file.fleet().periodUs(),
-                file.fleet().probeUs()), self, file.fleet().listen(), file.fleet().seeds(), random.nextLong(), Membership::changed);
+                file.fleet().probeUs()), self, file.fleet().listen(), file.fleet().seeds(),
+                        random.nextLong(), Membership::changed);
         try {
             member.start();
         } catch (IOException e) {
--- a/cli/src/main/java/tansypass/cli/MetricsPage.java
+++ b/cli/src/main/java/tansypass/cli/MetricsPage.java
@@ -59,7 +59,7 @@
                 .help("What the membership has counted.").callback(all ->
                         member.counts().forEach((name, count) -> all.call(count, name))).register(registry);
         GaugeWithCallback.builder().name("tansypass_membership_disagreement_seconds")
-                .help("Since a peer last had the same view; with nobody present to compare with, since the start.")
+                .help("Since a peer last had the same view, or since the start.")
                 .callback(one -> {
                     if (member.view() != null) {
                         one.call((member.view().atUs() - member.view().agreedUs()) / 1e6);
--- a/cli/src/test/java/tansypass/cli/DisagreementTest.java
+++ b/cli/src/test/java/tansypass/cli/DisagreementTest.java
@@ -35,8 +35,8 @@
 
     private static String line(String name, String state, long forMs, String at) {
         return """
-                {"name":"%s","gen":7,"nonce":1,"zone":"a","role":"node","at":"%s","old":1,"new":1,"state":"%s",\
-                "inc":0,"for_ms":%d}""".formatted(name, at, state, forMs);
+                {"name":"%s","gen":7,"nonce":1,"zone":"a","role":"node","at":"%s","old":1,\
+                "new":1,"state":"%s","inc":0,"for_ms":%d}""".formatted(name, at, state, forMs);
     }
 
     private static void serve(HttpServer server, String name, String... lines) {
@@ -69,7 +69,8 @@
         line.setOut(new PrintWriter(out)).setErr(new PrintWriter(new StringWriter()));
         int code = line.execute("members", at(a), "--all");
         assertTrue(code == Exit.NO, out.toString());
-        assertTrue(out.toString().contains("disagreed about c for 4.5 s: {failed 7=[a], left 7=[b]}"), out.toString());
+        assertTrue(out.toString().contains("disagreed about c for 4.5 s: {failed 7=[a], left 7=[b]}"),
+                out.toString());
         assertTrue(out.toString().contains("2 asked, 1 members disagreed about, 0 silent"), out.toString());
     }
 }
--- a/config/src/main/java/tansypass/config/NodeFile.java
+++ b/config/src/main/java/tansypass/config/NodeFile.java
@@ -65,7 +65,8 @@
      * @param advertise where others reach that; the same unless something translates addresses between them
      * @param seeds to join through
      */
-    public record Fleet(InetSocketAddress listen, InetSocketAddress advertise, String deployment, List<InetSocketAddress> seeds,
+    public record Fleet(InetSocketAddress listen, InetSocketAddress advertise, String deployment,
+            List<InetSocketAddress> seeds,
             long periodUs, long probeUs) { }
 
     /** Throws FaultyFileException with all that is wrong. */
@@ -103,7 +104,8 @@
         }
         InetSocketAddress listen = fleet.address("listen", true);
         InetSocketAddress advertise = fleet.address("advertise", false);
-        return new Fleet(listen, advertise == null ? listen : advertise, fleet.text("deployment", NAME, NAME_ALLOWED),
+        return new Fleet(listen, advertise == null ? listen : advertise, fleet.text("deployment", NAME,
+                NAME_ALLOWED),
                 fleet.addresses("seeds"), periodUs, probeUs);
     }
 
--- a/fleet/src/main/java/tansypass/fleet/membership/Membership.java
+++ b/fleet/src/main/java/tansypass/fleet/membership/Membership.java
@@ -3,8 +3,8 @@
 import java.net.InetSocketAddress;
 
 /**
- * How a process takes part in its fleet: the product's way is {@link Swim}. Single-threaded: all calls come from
- * one loop, and none of them blocks.
+ * How a process takes part in its fleet: the product's way is {@link Swim}. Single-threaded: all calls come
+ * from one loop, and none of them blocks.
  */
 public interface Membership {
 
--- a/fleet/src/main/java/tansypass/fleet/membership/MembershipSettings.java
+++ b/fleet/src/main/java/tansypass/fleet/membership/MembershipSettings.java
@@ -4,14 +4,15 @@
  * How a fleet keeps its membership, the same for all its processes. Lengths of time are microseconds.
  *
  * @param periodUs the protocol's period (SWIM, section 4)
- * @param probes members probed in each, one after the other: SWIM has one, and a death then waits for a second
- *     and more until anybody looks
+ * @param probes members probed in each, one after the other: SWIM has one, and a death then waits for a
+ *     second and more until anybody looks
  * @param probeUs until others are asked to probe too
  * @param helpers how many of them (SWIM's k)
  * @param gossipUs while there is news, it is told to some in each, besides what probes carry: under loss
  *     suspicion has to reach the suspect, and its word the others, before the suspicion ends
  * @param gossipPeers to how many
- * @param suspicion a suspect has this many times log10(n) periods, n being 50 at least, to refute (Lifeguard's alpha)
+ * @param suspicion a suspect has this many times log10(n) periods, n being 50 at least, to refute
+ *     (Lifeguard's alpha)
  * @param patience and so many times that while nobody else suspects it (Lifeguard's beta)
  * @param spread each piece of news is passed on this many times log10(n + 1) times
  * @param exchangeUs a full exchange with one peer in each
--- a/fleet/src/main/java/tansypass/fleet/membership/Swim.java
+++ b/fleet/src/main/java/tansypass/fleet/membership/Swim.java
@@ -30,9 +30,13 @@
     private static final int HEAD_BYTES = 300;
     /** A helper says nack after this share of the time that a probe has (Lifeguard, section IV A). */
     private static final double NACK_AFTER = 0.8;
-    /** A probe is over after so many times its own time: the helpers have had theirs, and their nacks came. */
+    /**
+     * A probe is over after so many times its own time: the helpers have had theirs, and their nacks came.
+     */
     private static final double VERDICT_AFTER = 2.2;
-    /** A smaller fleet waits as long as one of so many: a process stands still no shorter for being of a few. */
+    /**
+     * A smaller fleet waits as long as one of so many: a process stands still no shorter for being of a few.
+     */
     private static final int LEAST_FLEET = 50;
     /** How often a suspect is asked itself at the end; of datagrams, one alone may get lost. */
     private static final int HEARINGS = 4;
@@ -322,7 +326,8 @@
         envelope.news().forEach(this::take);
         if (message instanceof Message.Ping ping) {
             if (ping.target().equals(self.name())) {
-                Member first = holdsThisForGone(envelope) ? table.get(self.name()) : whatIsWrongAbout(envelope);
+                Member first = holdsThisForGone(envelope) ? table.get(self.name())
+                        : whatIsWrongAbout(envelope);
                 send(from, new Message.Ack(envelope(first), ping.number()));
             }
         } else if (message instanceof Message.PingRequest request) {
--- a/fleet/src/main/java/tansypass/fleet/membership/View.java
+++ b/fleet/src/main/java/tansypass/fleet/membership/View.java
@@ -16,7 +16,8 @@
  * @param members all lines, itself among them, by name
  * @param changedUs by name, when its line last changed here
  */
-public record View(long version, String digest, long atUs, boolean joined, long agreedUs, List<Member> members,
+public record View(long version, String digest, long atUs, boolean joined, long agreedUs,
+        List<Member> members,
         Map<String, Long> changedUs) {
 
     /** How many of a role are present, by zone. */
--- a/rig/src/main/java/tansypass/rig/baseline/Heartbeats.java
+++ b/rig/src/main/java/tansypass/rig/baseline/Heartbeats.java
@@ -24,8 +24,9 @@
 import tansypass.fleet.membership.View;
 
 /**
- * What membership is measured against: each process tells each other once a period that it is there, and one that
- * was not heard of for some periods has failed. Nobody helps, nobody is asked, nothing is passed on.
+ * What membership is measured against: each process tells each other once a period that it is there, and
+ * one that was not heard of for some periods has failed. Nobody helps, nobody is asked, nothing is passed
+ * on.
  */
 public final class Heartbeats implements Membership {
     /** About as soon as the product sees a death among fifty. */
@@ -115,7 +116,8 @@
 
     @Override
     public void leave() {
-        byte[] word = codec.datagram(new Message.Gossip(envelope(List.of(new Member(self, MemberState.LEFT, 0, "")))));
+        byte[] word = codec.datagram(new Message.Gossip(envelope(List.of(new Member(self, MemberState.LEFT,
+                0, "")))));
         members.values().forEach(member -> network.send(member.identity().address(), word));
         over = true;
     }
--- a/rig/src/main/java/tansypass/rig/explore/FaultDraw.java
+++ b/rig/src/main/java/tansypass/rig/explore/FaultDraw.java
@@ -40,7 +40,8 @@
 
     private Fault fault() {
         int kinds = Kind.values().length;
-        Kind kind = Kind.values()[random.nextInt(scenario.fleet() == null ? Kind.DUPLICATE.ordinal() : kinds)];
+        Kind kind = Kind.values()[random.nextInt(scenario.fleet() == null ? Kind.DUPLICATE.ordinal()
+                : kinds)];
         long atUs = random.nextLong(scenario.lengthUs());
         // Short ones as often as long ones: those that just miss something matter as much.
         long lastsUs = (long) (scenario.lengthUs() / 2 * Math.pow(random.nextDouble(), 3));
--- a/rig/src/main/java/tansypass/rig/judge/MemberJudge.java
+++ b/rig/src/main/java/tansypass/rig/judge/MemberJudge.java
@@ -10,8 +10,9 @@
 import tansypass.rig.scenario.Scenario;
 
 /**
- * Checks what the nodes hold each other to be. Nodes are numbers; a life is whatever tells two processes of one
- * name apart. Told of views by whoever sees them: each change in virtual time, looks now and then on sockets.
+ * Checks what the nodes hold each other to be. Nodes are numbers; a life is whatever tells two processes of
+ * one name apart. Told of views by whoever sees them: each change in virtual time, looks now and then on
+ * sockets.
  */
 public final class MemberJudge {
     /** A fault may still show for so many periods after its end; past them nobody alive may fail. */
@@ -27,7 +28,9 @@
     private final Map<String, Line> seen = new HashMap<>();
     private final Map<String, Death> deaths = new LinkedHashMap<>();
 
-    /** An end that nobody was told of, and after how long the first and the last so far saw it; -1: nobody. */
+    /**
+     * An end that nobody was told of, and after how long the first and the last so far saw it; -1: nobody.
+     */
     public static final class Death {
         private final int node;
         private final long atUs;
@@ -144,7 +147,8 @@
                 .map(Map.Entry::getKey).sorted().toList();
         if (!wrong.isEmpty()) {
             judge.breach(Rule.MEMBERS_AGREE, nowUs, "up are " + up + ", but node-" + wrong.get(0)
-                    + " holds to be present " + new TreeSet<>(views.get(wrong.get(0))) + "; wrong in " + wrong.size()
+                    + " holds to be present " + new TreeSet<>(views.get(wrong.get(0))) + "; wrong in "
+                            + wrong.size()
                     + " views of " + up.size());
         }
     }
--- a/rig/src/main/java/tansypass/rig/model/Mesh.java
+++ b/rig/src/main/java/tansypass/rig/model/Mesh.java
@@ -38,7 +38,8 @@
     }
 
     private void putWay(int from, int to, Fault whole, boolean begins) {
-        LinkState way = ways.computeIfAbsent(key(from, to), made -> new LinkState(delayUs.applyAsLong(from, to),
+        LinkState way = ways.computeIfAbsent(key(from, to), made -> new LinkState(delayUs.applyAsLong(from,
+                to),
                 Randoms.of(seed, "member-" + from + ">" + to)));
         if (begins) {
             way.begin(whole);
--- a/rig/src/main/java/tansypass/rig/real/MemberLinks.java
+++ b/rig/src/main/java/tansypass/rig/real/MemberLinks.java
@@ -25,10 +25,10 @@
 import tansypass.rig.scenario.Scenario.Way;
 
 /**
- * The links between nodes as members of a fleet. Each node has a face here, whose address it tells the others;
- * what comes to a face from a node's own host goes on to the face's owner, and seems to come from the sender's
- * face. So both datagrams and connections of each pair pass through the rig, and the nodes know nothing of it.
- * Lives on one loop.
+ * The links between nodes as members of a fleet. Each node has a face here, whose address it tells the
+ * others; what comes to a face from a node's own host goes on to the face's owner, and seems to come from
+ * the sender's face. So both datagrams and connections of each pair pass through the rig, and the nodes
+ * know nothing of it. Lives on one loop.
  */
 final class MemberLinks {
     private final EventLoop loop;
--- a/rig/src/main/java/tansypass/rig/real/NodeToml.java
+++ b/rig/src/main/java/tansypass/rig/real/NodeToml.java
@@ -45,7 +45,8 @@
                 nodes.attempts(), nodes.secondCopies(), nodes.cancel(), nodes.retryAfterUs(),
                 nodes.connectTimeoutUs(), servers.idleUs(), nodes.drainGraceUs(), servers.coldFrom(),
                 servers.coldUs(), nodes.logLevel())
-                + fleet + scenario.classes().stream().map(NodeToml::requestClass).collect(Collectors.joining());
+                + fleet + scenario.classes().stream().map(NodeToml::requestClass)
+                        .collect(Collectors.joining());
     }
 
     /** The part of a member; {@code advertise} may be its own address. */
--- a/rig/src/main/java/tansypass/rig/real/RealRun.java
+++ b/rig/src/main/java/tansypass/rig/real/RealRun.java
@@ -335,7 +335,8 @@
         String name = "node-" + number;
         Path file = folder.resolve(name + ".toml");
         Files.writeString(file, NodeToml.of(scenario, number, HexFormat.of().toHexDigits(
-                Randoms.seedOf(seed, name)), place.listen, place.admin, place.agent.address(), member(number, hosts)));
+                Randoms.seedOf(seed, name)), place.listen, place.admin, place.agent.address(),
+                        member(number, hosts)));
         place.process = new NodeProcess(name, command, file, folder.resolve(name + ".log"), reaper, loop,
                 place::untoldEnd);
         return place;
--- a/rig/src/main/java/tansypass/rig/report/FleetPlot.java
+++ b/rig/src/main/java/tansypass/rig/report/FleetPlot.java
@@ -62,7 +62,8 @@
             renderer.setSeriesPaint(2 * k, color);
             renderer.setSeriesPaint(2 * k + 1, color);
             renderer.setSeriesStroke(2 * k, new BasicStroke(2));
-            renderer.setSeriesStroke(2 * k + 1, new BasicStroke(1, BasicStroke.CAP_BUTT, BasicStroke.JOIN_MITER, 1,
+            renderer.setSeriesStroke(2 * k + 1, new BasicStroke(1, BasicStroke.CAP_BUTT,
+                    BasicStroke.JOIN_MITER, 1,
                     DASHES, 0));
         }
         renderer.setDefaultSeriesVisibleInLegend(figure.equals(FleetTrial.NAMES.get(DRAWN.get(0))));
--- a/rig/src/main/java/tansypass/rig/report/Report.java
+++ b/rig/src/main/java/tansypass/rig/report/Report.java
@@ -61,7 +61,8 @@
         line(text, "served, ms: %s; the rig's own lateness, ms: %s", percentiles(tally.served()),
                 percentiles(tally.lateness()));
         for (Death death : deaths()) {
-            line(text, "the end of node-%d was seen after %.2f s by the first, %.2f s by the last of %d", death.node(),
+            line(text, "the end of node-%d was seen after %.2f s by the first, %.2f s by the last of %d",
+                    death.node(),
                     death.firstUs() / 1e6, death.lastUs() / 1e6, death.observers());
         }
         for (Breach breach : judge.breaches()) {
--- a/rig/src/main/java/tansypass/rig/scenario/Scenario.java
+++ b/rig/src/main/java/tansypass/rig/scenario/Scenario.java
@@ -92,7 +92,10 @@
         HALF_OPEN,
         /** Of the links between nodes: this share of datagrams comes twice. */
         DUPLICATE,
-        /** Of the links between nodes: this share of datagrams takes longer, by {@code time}, and is overtaken. */
+        /**
+         * Of the links between nodes: this share of datagrams takes longer, by {@code time}, and is
+         * overtaken.
+         */
         REORDER;
 
         /** Whether it is on a link and not on a process. */
--- a/rig/src/main/java/tansypass/rig/scenario/ScenarioFile.java
+++ b/rig/src/main/java/tansypass/rig/scenario/ScenarioFile.java
@@ -136,7 +136,8 @@
             case DRAIN, CHOKE, HANG, ERRORS -> first.startsWith("server");
             case SILENCE -> first.equals("discovery");
             case DUPLICATE, REORDER -> fault.isOfMembers();
-            default -> fault.isOfMembers() || first.startsWith("node") && fault.target().get(1).startsWith("server")
+            default -> fault.isOfMembers() || first.startsWith("node") && fault.target().get(1)
+                    .startsWith("server")
                     || first.equals("clients") && fault.target().get(1).startsWith("node");
         };
         if (!fits) {
--- a/rig/src/main/java/tansypass/rig/virtual/FleetFigures.java
+++ b/rig/src/main/java/tansypass/rig/virtual/FleetFigures.java
@@ -31,7 +31,8 @@
      *
      * @param missing of how many seeds it never came; they are in neither median nor worst
      */
-    public record Row(String kind, int count, double loss, String figure, double median, double worst, int seeds,
+    public record Row(String kind, int count, double loss, String figure, double median, double worst,
+            int seeds,
             long missing) { }
 
     private static Map<String, Kind> kinds() {
@@ -47,7 +48,8 @@
     }
 
     /** Times and cost of one size and kind. */
-    public void measure(String kind, int count, double loss, int seeds, int threads) throws InterruptedException {
+    public void measure(String kind, int count, double loss, int seeds,
+            int threads) throws InterruptedException {
         List<double[]> trials = each(seeds, threads,
                 seed -> FleetTrial.play(KINDS.get(kind), count, loss, seed).values());
         for (int i = 0; i < FleetTrial.NAMES.size(); i++) {
@@ -55,7 +57,10 @@
         }
     }
 
-    /** Wrongly failed in an hour of one size and kind; {@code troubled} lets a tenth stand still again and again. */
+    /**
+     * Wrongly failed in an hour of one size and kind; {@code troubled} lets a tenth stand still again and
+     * again.
+     */
     public void hour(String kind, int count, double loss, boolean troubled, int seeds, int threads)
             throws InterruptedException {
         List<double[]> trials = each(seeds, threads,
@@ -105,7 +110,8 @@
                     + "median, worst%n", row.kind, row.count, row.loss * 100, row.seeds);
             text.append(of.equals(head) ? "" : of);
             head = of;
-            text.append(String.format(Locale.ROOT, "  %-52s %10.2f %10.2f%s%n", row.figure, row.median, row.worst,
+            text.append(String.format(Locale.ROOT, "  %-52s %10.2f %10.2f%s%n", row.figure, row.median,
+                    row.worst,
                     row.missing == 0 ? "" : "  (never in " + row.missing + ")"));
         }
         return text.toString();
--- a/rig/src/main/java/tansypass/rig/virtual/FleetTrial.java
+++ b/rig/src/main/java/tansypass/rig/virtual/FleetTrial.java
@@ -35,7 +35,8 @@
 
     /** The names of the figures, for people, in order. */
     public static final List<String> NAMES = List.of("all agree after a start at once, s",
-            "a death is seen by the first, s", "and by all, s", "all agree after a partition in halves of 60 s, s",
+            "a death is seen by the first, s", "and by all, s",
+                    "all agree after a partition in halves of 60 s, s",
             "datagrams a second of a process at rest", "bytes a second of them",
             "bytes a second of full exchanges", "processor time a second of a process at rest, us",
             "wrongly failed in 90 s");
@@ -85,15 +86,16 @@
     }
 
     /**
-     * How often one that is up was held to have failed in an hour, all views together: of those that stand still
-     * for 1 to 3 s again and again (a tenth if {@code troubled}), and of the others.
+     * How often one that is up was held to have failed in an hour, all views together: of those that stand
+     * still for 1 to 3 s again and again (a tenth if {@code troubled}), and of the others.
      */
     public static double[] hour(Kind kind, int count, double loss, boolean troubled, long seed) {
         VirtualFleet fleet = fleet(kind, count, seed);
         double[] failed = new double[2];
         fleet.watch((who, before, after) -> {
             if (after != null && after.state() == MemberState.FAILED) {
-                boolean still = troubled && Integer.parseInt(after.identity().name().substring("node-".length()))
+                boolean still = troubled && Integer.parseInt(after.identity().name()
+                        .substring("node-".length()))
                         % TROUBLED_IN == 1;
                 failed[still ? 0 : 1]++;
             }
@@ -118,10 +120,12 @@
     }
 
     private static VirtualFleet fleet(Kind kind, int count, long seed) {
-        return new VirtualFleet(seed, MembershipSettings.DEFAULT, count, List.of("a", "b"), new EventQueue(), kind);
+        return new VirtualFleet(seed, MembershipSettings.DEFAULT, count, List.of("a", "b"),
+                new EventQueue(), kind);
     }
 
     private static double failed(VirtualFleet fleet, int count) {
-        return IntStream.range(0, count).mapToLong(i -> fleet.member(i).counters().get(Counters.Name.FAILED)).sum();
+        return IntStream.range(0, count).mapToLong(i -> fleet.member(i).counters()
+                .get(Counters.Name.FAILED)).sum();
     }
 }
--- a/rig/src/main/java/tansypass/rig/virtual/VirtualFleet.java
+++ b/rig/src/main/java/tansypass/rig/virtual/VirtualFleet.java
@@ -101,7 +101,8 @@
     }
 
     /** The same in a world that has its time already. */
-    VirtualFleet(long seed, MembershipSettings settings, int count, List<String> zones, EventQueue queue, Kind kind) {
+    VirtualFleet(long seed, MembershipSettings settings, int count, List<String> zones, EventQueue queue,
+            Kind kind) {
         this.kind = kind;
         this.queue = queue;
         mesh = new Mesh(seed, (from, to) -> 0);
@@ -357,7 +358,8 @@
                 return;
             }
             Membership member = place.member;
-            queue.after(2 * wayUs() + heldUs(from.number, place.number, body.length), () -> place.process.reach(() -> {
+            queue.after(2 * wayUs() + heldUs(from.number, place.number, body.length), () ->
+                    place.process.reach(() -> {
                 byte[] result = member.onExchange(body);
                 exchanged += result == null ? 0 : result.length;
                 queue.after(wayUs() + heldUs(place.number, from.number, body.length),
--- a/rig/src/main/java/tansypass/rig/virtual/VirtualRun.java
+++ b/rig/src/main/java/tansypass/rig/virtual/VirtualRun.java
@@ -123,7 +123,8 @@
                     Randoms.seedOf(seed, "node-" + number + "#" + life), entries(known), parts);
             front.ready(number);
             if (fleet != null) {
-                fleet.start(number, IntStream.range(0, Math.min(SEEDS, nodes.size())).boxed().toList(), 0, "rig");
+                fleet.start(number, IntStream.range(0, Math.min(SEEDS, nodes.size())).boxed().toList(), 0,
+                        "rig");
                 judge.members().is(number, life(fleet.swim(number).self()));
             }
         }
@@ -408,7 +409,8 @@
                     VirtualFleet.Kind.SWIM);
             fleet.watch((viewer, before, after) -> {
                 if (after != null) {
-                    judge.members().viewed(queue.nowUs(), viewer, life(fleet.swim(viewer).self()), line(after));
+                    judge.members().viewed(queue.nowUs(), viewer, life(fleet.swim(viewer).self()),
+                            line(after));
                 }
             });
         }
@@ -428,7 +430,8 @@
         Map<Integer, Set<Integer>> present = new TreeMap<>();
         for (NodePlace place : nodes) {
             if (place.node != null) {
-                present.put(place.number, fleet.view(place.number).members().stream().filter(Member::isPresent)
+                present.put(place.number, fleet.view(place.number).members().stream()
+                        .filter(Member::isPresent)
                         .map(member -> line(member).of()).collect(Collectors.toSet()));
             }
         }
--- a/rig/src/test/java/tansypass/rig/explore/MemberFaultsTest.java
+++ b/rig/src/test/java/tansypass/rig/explore/MemberFaultsTest.java
@@ -54,7 +54,8 @@
         finds(Rule.MEMBER_FAILED, new NodeParts() {
             @Override
             public MembershipSettings membership(MembershipSettings own) {
-                return new MembershipSettings(own.periodUs(), own.probes(), 100, own.helpers(), own.gossipUs(),
+                return new MembershipSettings(own.periodUs(), own.probes(), 100, own.helpers(),
+                        own.gossipUs(),
                         own.gossipPeers(), 1e-4, 1, own.spread(), own.exchangeUs(), own.reconnectUs(),
                         own.forgetUs(), own.most());
             }
@@ -68,7 +69,8 @@
             @Override
             public MembershipSettings membership(MembershipSettings own) {
                 return new MembershipSettings(own.periodUs(), own.probes(), own.probeUs(), own.helpers(),
-                        own.gossipUs(), own.gossipPeers(), own.suspicion(), own.patience(), own.spread(), never,
+                        own.gossipUs(), own.gossipPeers(), own.suspicion(), own.patience(), own.spread(),
+                                never,
                         never, own.forgetUs(), own.most());
             }
         });
--- a/rig/src/test/java/tansypass/rig/scenario/ScenarioFileTest.java
+++ b/rig/src/test/java/tansypass/rig/scenario/ScenarioFileTest.java
@@ -20,7 +20,8 @@
     void aFaultThatCannotBeOnWhatItNamesIsNamedByItsLine() {
         assertEquals(List.of("23 faults[0].on: this kind of fault can't be on server-0; links are from node"
                 + " to"
-                + " server or node, or from clients to node"), faults(Worlds.fault("term", "\"server-0\"", "1s",
+                + " server or node, or from clients to node"), faults(Worlds.fault("term", "\"server-0\"",
+                        "1s",
                 "1s", "")));
         assertEquals(List.of("23 faults[0].on: \"server-9\" is not there: they are numbered 0 to 3"),
                 faults(Worlds.fault("kill", "\"server-9\"", "1s", "1s", "")));
--- a/rig/src/test/java/tansypass/rig/virtual/FleetFiguresTest.java
+++ b/rig/src/test/java/tansypass/rig/virtual/FleetFiguresTest.java
@@ -22,7 +22,8 @@
     private Path folder;
 
     private static Row row(FleetFigures figures, String kind, String figure) {
-        return figures.rows().stream().filter(r -> r.kind().equals(kind) && r.figure().equals(figure)).findFirst()
+        return figures.rows().stream().filter(r -> r.kind().equals(kind) && r.figure().equals(figure))
+                .findFirst()
                 .orElseThrow();
     }
 
