Test a flood of garbage datagrams at a real process: counted, and nobody loses its place

Need: floods were proved in virtual time only. Change: MembersTest sends 20,000 random datagrams, some over-long, to one of three real processes and reads /metrics. Measured: at least a twentieth is read and counted as malformed (the rest is the kernel's to drop), all three stay alive in all views, none is held to have failed.

--- a/cli/src/test/java/tansypass/cli/MembersTest.java
+++ b/cli/src/test/java/tansypass/cli/MembersTest.java
@@ -6,22 +6,31 @@
 import java.io.IOException;
 import java.io.PrintWriter;
 import java.io.StringWriter;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
+import org.apache.commons.rng.UniformRandomProvider;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import picocli.CommandLine;
+import tansypass.fleet.env.Randoms;
 
 /** Membership among real processes of the program. */
 @Timeout(120)
 class MembersTest {
     private static final int COUNT = 4;
+    private static final int FLOOD = 20_000;
     /** Addresses of this test process's own. */
     private static final String NETWORK = "127.200." + ProcessHandle.current().pid() / 250 % 250 + "."
             + (ProcessHandle.current().pid() % 250 + 1);
@@ -40,6 +49,7 @@
                 [node]
                 name = "n%d"
                 listen = "%s:%d"
+                admin = "%s:%d"
                 [[servers]]
                 uid = "s"
                 endpoint = "127.0.0.1:1"
@@ -52,7 +62,7 @@
                 deployment = "test"
                 seeds = ["%s", "%s"]
                 period = "200ms"
-                """.formatted(node, NETWORK, 8_000 + node, address(node), address(0), address(1)));
+                """.formatted(node, NETWORK, 8_000 + node, NETWORK, 9_000 + node, address(node), address(0), address(1)));
         List<String> command = new ArrayList<>(Self.command("node", "--with-parent", file.toString()));
         Process process = new ProcessBuilder(command).redirectErrorStream(true)
                 .redirectOutput(folder.resolve("n" + node + ".log").toFile()).start();
@@ -124,4 +134,40 @@
             await(i, List.of(line(2, "left")));
         }
     }
+
+    /** How often a process has counted this. */
+    private static long counted(int node, String event) throws IOException {
+        Matcher line = Pattern.compile("tansypass_membership_events_total\\{event=\"" + event + "\"\\} ([0-9.]+)")
+                .matcher(AdminCall.make(NETWORK + ":" + (9_000 + node), "GET", "/metrics").body());
+        return line.find() ? (long) Double.parseDouble(line.group(1)) : -1;
+    }
+
+    @Test
+    void aFloodOfGarbageIsCountedAndCostsNobodyItsPlace() throws Exception {
+        for (int i = 0; i < 3; i++) {
+            start(i);
+        }
+        List<String> allAlive = List.of(line(0, "alive"), line(1, "alive"), line(2, "alive"));
+        for (int i = 0; i < 3; i++) {
+            await(i, allAlive);
+        }
+        UniformRandomProvider random = Randoms.of(5, "garbage");
+        InetSocketAddress target = new InetSocketAddress(NETWORK, 7_000);
+        try (DatagramSocket socket = new DatagramSocket(0, InetAddress.getByName(NETWORK))) {
+            for (int i = 0; i < FLOOD; i++) {
+                // Some longer than any datagram of the protocol.
+                byte[] garbage = new byte[i % 50 == 0 ? 9_000 : 1 + random.nextInt(1_400)];
+                random.nextBytes(garbage);
+                socket.send(new DatagramPacket(garbage, garbage.length, target));
+            }
+        }
+        long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(30);
+        while (counted(0, "dropped_malformed") < FLOOD / 20) {
+            assertTrue(System.nanoTime() < until, "counted " + counted(0, "dropped_malformed"));
+        }
+        for (int i = 0; i < 3; i++) {
+            await(i, allAlive);
+            assertEquals(0, counted(i, "failed"));
+        }
+    }
 }
