Pass a reset on to a connection that was still coming up behind a link

Seen: RelayTest.aResetEndsWhatIsOpenAndWhatComes failed once in a full check: the far side got an orderly end. Cause: the reset came between the far side's accept and the link's own word that its dial had succeeded; the late half was closed and not reset (Relay.Pair.dial). Ruled out: the near side, which was reset. Measured: the order can't be made in the test without the link's loop standing still; by reading, both orders now reset.

--- a/rig/src/main/java/tansypass/rig/real/Relay.java
+++ b/rig/src/main/java/tansypass/rig/real/Relay.java
@@ -195,6 +195,7 @@
         private Channel to;
         private Pump there;
         private Pump back;
+        private boolean wasReset;
 
         Pair(Channel from) {
             this.from = from;
@@ -218,6 +219,9 @@
                 if (from.isActive()) {
                     there.open();
                     back.open();
+                } else if (wasReset) {
+                    // While its other half was coming up.
+                    Channels.reset(to);
                 } else {
                     to.close();
                 }
@@ -242,6 +246,7 @@
         }
 
         void reset() {
+            wasReset = true;
             // Both first: the end of one brings about the other's.
             Channels.endWithReset(from);
             if (to != null) {
