Work out a node's share from its fleet; hand it over at the moment of a drain

Need: the number of nodes in the settings is a guess that a drain, a restart or a larger fleet makes wrong (docs/membership.md). Change: Balancer.onFleet(present, lost) is the module's input, and the module's the decision: present and lost nodes together, no less than half of the settings' number; limits are scaled with it and what waits is sent at once.

--- a/cli/src/main/java/tansypass/cli/MetricsPage.java
+++ b/cli/src/main/java/tansypass/cli/MetricsPage.java
@@ -65,6 +65,14 @@
                         one.call((member.view().atUs() - member.view().agreedUs()) / 1e6);
                     }
                 }).register(registry);
+        GaugeWithCallback.builder().name("tansypass_fleet_nodes").labelNames("state")
+                .help("Nodes that take clients, and lost ones, as the node's share is worked out from.")
+                .callback(all -> {
+                    if (member.view() != null) {
+                        all.call(member.view().taking(Role.NODE), "taking");
+                        all.call(member.view().lost(Role.NODE), "lost");
+                    }
+                }).register(registry);
         GaugeWithCallback.builder().name("tansypass_members_present").labelNames("zone")
                 .help("Nodes that this process holds to be present.").callback(all -> {
                     if (member.view() != null) {
--- a/cli/src/main/java/tansypass/cli/NodeCommand.java
+++ b/cli/src/main/java/tansypass/cli/NodeCommand.java
@@ -38,7 +38,8 @@
         }
         Reload reload = new Reload(file, System.getenv(), first);
         FleetMember member = Membership.begin(first);
-        cedarrelay.node.Main.serve(() -> PlatformJson.of(reload.next()), new MetricsPage(member));
+        cedarrelay.node.Main.serve(() -> PlatformJson.of(reload.next()), new MetricsPage(member),
+                member == null ? null : new FleetShare(member));
         return Exit.GOES_ON;
     }
 
--- a/cli/src/test/java/tansypass/cli/MembersTest.java
+++ b/cli/src/test/java/tansypass/cli/MembersTest.java
@@ -62,7 +62,8 @@
                 deployment = "test"
                 seeds = ["%s", "%s"]
                 period = "200ms"
-                """.formatted(node, NETWORK, 8_000 + node, NETWORK, 9_000 + node, address(node), address(0), address(1)));
+                """.formatted(node, NETWORK, 8_000 + node, NETWORK, 9_000 + node, address(node),
+                address(0), address(1)));
         List<String> command = new ArrayList<>(Self.command("node", "--with-parent", file.toString()));
         Process process = new ProcessBuilder(command).redirectErrorStream(true)
                 .redirectOutput(folder.resolve("n" + node + ".log").toFile()).start();
@@ -135,11 +136,44 @@
         }
     }
 
-    /** How often a process has counted this. */
-    private static long counted(int node, String event) throws IOException {
-        Matcher line = Pattern.compile("tansypass_membership_events_total\\{event=\"" + event + "\"\\} ([0-9.]+)")
-                .matcher(AdminCall.make(NETWORK + ":" + (9_000 + node), "GET", "/metrics").body());
-        return line.find() ? (long) Double.parseDouble(line.group(1)) : -1;
+    /** What a page {@code /metrics} says after this name; -1 if it does not, or is not there yet. */
+    private static long figure(int node, String name) {
+        try {
+            Matcher line = Pattern.compile(Pattern.quote(name) + " ([0-9.]+)")
+                    .matcher(AdminCall.make(NETWORK + ":" + (9_000 + node), "GET", "/metrics").body());
+            return line.find() ? (long) Double.parseDouble(line.group(1)) : -1;
+        } catch (IOException e) {
+            return -1;
+        }
+    }
+
+    private void awaitFigure(int node, String name, long wanted) throws Exception {
+        long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(60);
+        while (figure(node, name) != wanted) {
+            assertTrue(System.nanoTime() < until, name + " of n" + node + " is " + figure(node, name));
+            processes.get(node).waitFor(20, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    @Test
+    void aNodeThatSendsClientsAwayHandsItsShareOverAndTakesItBack() throws Exception {
+        for (int i = 0; i < 3; i++) {
+            start(i);
+        }
+        String taking = "tansypass_fleet_nodes{state=\"taking\"}";
+        awaitFigure(0, taking, 3);
+        assertEquals(200, AdminCall.make(NETWORK + ":9001", "POST", "/_lameduck/on").statusCode());
+        awaitFigure(0, taking, 2);
+        awaitFigure(2, taking, 2);
+        assertEquals(200, AdminCall.make(NETWORK + ":9001", "POST", "/_lameduck/off").statusCode());
+        awaitFigure(0, taking, 3);
+        processes.get(2).destroyForcibly().waitFor();
+        awaitFigure(0, "tansypass_fleet_nodes{state=\"lost\"}", 1);
+        assertEquals(2, figure(0, taking));
+    }
+
+    private static long counted(int node, String event) {
+        return figure(node, "tansypass_membership_events_total{event=\"" + event + "\"}");
     }
 
     @Test
--- a/fleet/src/main/java/tansypass/fleet/membership/Codec.java
+++ b/fleet/src/main/java/tansypass/fleet/membership/Codec.java
@@ -122,6 +122,9 @@
         if (!member.by().isEmpty()) {
             to.writeStringField("by", member.by());
         }
+        if (member.away()) {
+            to.writeBooleanField("away", true);
+        }
     }
 
     /** A whole view, for an exchange. */
@@ -284,6 +287,7 @@
         String at = null;
         String state = null;
         String by = "";
+        boolean away = false;
         long[] numbers = new long[5];
         int seen = 0;
         while (value.nextToken() == JsonToken.FIELD_NAME) {
@@ -302,6 +306,7 @@
                 case "at" -> at = text(value);
                 case "state" -> state = text(value);
                 case "by" -> by = text(value);
+                case "away" -> away = value.getBooleanValue();
                 default -> value.skipChildren();
             }
         }
@@ -311,7 +316,7 @@
         Identity identity = new Identity(need(name, "name"), numbers[0], numbers[1], need(zone, "zone"),
                 constant(Role.class, need(role, "role")), address(need(at, "at")), "", (int) numbers[2],
                 (int) numbers[3]);
-        return new Member(identity, constant(MemberState.class, need(state, "state")), numbers[4], by);
+        return new Member(identity, constant(MemberState.class, need(state, "state")), numbers[4], by, away);
     }
 
     private static <E extends Enum<E>> E constant(Class<E> type, String word) {
--- a/fleet/src/main/java/tansypass/fleet/membership/Member.java
+++ b/fleet/src/main/java/tansypass/fleet/membership/Member.java
@@ -5,12 +5,18 @@
  *
  * @param incarnation of its present generation; only the process itself makes it grow (SWIM, section 4.2)
  * @param by who suspects it, for SUSPECT; else empty
+ * @param away it says that it takes no clients now
  */
-public record Member(Identity identity, MemberState state, long incarnation, String by) {
+public record Member(Identity identity, MemberState state, long incarnation, String by, boolean away) {
+
+    /** One that takes clients. */
+    public Member(Identity identity, MemberState state, long incarnation, String by) {
+        this(identity, state, incarnation, by, false);
+    }
 
     /** Another state of the same life. */
     public Member as(MemberState other, long at, String who) {
-        return new Member(identity, other, at, who);
+        return new Member(identity, other, at, who, away);
     }
 
     /** Whether it is to be counted on: a suspect still is (Lifeguard, section III). */
--- a/fleet/src/main/java/tansypass/fleet/membership/Swim.java
+++ b/fleet/src/main/java/tansypass/fleet/membership/Swim.java
@@ -68,6 +68,7 @@
     private final BiConsumer<Member, Member> onChange;
     private Identity self;
     private long incarnation;
+    private boolean away;
     private long lastNumber;
     private int joinTries;
     private int exchangesOpen;
@@ -139,7 +140,7 @@
         if (over) {
             return;
         }
-        Member left = new Member(self, MemberState.LEFT, incarnation, "");
+        Member left = new Member(self, MemberState.LEFT, incarnation, "", true);
         put(left);
         for (Member peer : draw(TOLD_OF_LEAVING, "")) {
             send(peer.identity().address(), new Message.Gossip(envelope(left)));
@@ -147,6 +148,16 @@
         over = true;
     }
 
+    /** Whether this process takes clients; told at once, under a new incarnation. */
+    public void takes(boolean clients) {
+        if (!over && away == clients) {
+            away = !clients;
+            incarnation++;
+            announce();
+            tellSome();
+        }
+    }
+
     /** Falls silent without a word. */
     @Override
     public void stop() {
@@ -154,7 +165,7 @@
     }
 
     private void announce() {
-        put(new Member(self, MemberState.ALIVE, incarnation, ""));
+        put(new Member(self, MemberState.ALIVE, incarnation, "", away));
     }
 
     private void join() {
--- a/fleet/src/main/java/tansypass/fleet/membership/View.java
+++ b/fleet/src/main/java/tansypass/fleet/membership/View.java
@@ -20,6 +20,18 @@
         List<Member> members,
         Map<String, Long> changedUs) {
 
+    /** How many of a role are present and take clients. */
+    public int taking(Role role) {
+        return (int) members.stream().filter(m -> m.isPresent() && !m.away() && m.identity().role() == role)
+                .count();
+    }
+
+    /** How many of a role took clients when they failed, and are not forgotten: they may be there still. */
+    public int lost(Role role) {
+        return (int) members.stream().filter(m -> m.state() == MemberState.FAILED && !m.away()
+                && m.identity().role() == role).count();
+    }
+
     /** How many of a role are present, by zone. */
     public Map<String, Integer> presentByZone(Role role) {
         Map<String, Integer> zones = new TreeMap<>();
--- a/fleet/src/main/java/tansypass/fleet/net/FleetMember.java
+++ b/fleet/src/main/java/tansypass/fleet/net/FleetMember.java
@@ -31,6 +31,7 @@
     private final InetSocketAddress listen;
     private final Swim swim;
     private volatile View view;
+    private volatile long viewedNs;
     private volatile Map<String, Long> counts = Map.of();
 
     /**
@@ -61,9 +62,20 @@
 
     private void publish() {
         view = swim.view();
+        viewedNs = System.nanoTime();
         counts = swim.counters().all();
     }
 
+    /** How old the view is, microseconds; Long.MAX_VALUE before the start. */
+    public long viewAgeUs() {
+        return view == null ? Long.MAX_VALUE : (System.nanoTime() - viewedNs) / 1_000;
+    }
+
+    /** Whether this process takes clients; others are told. */
+    public void takes(boolean clients) {
+        loop.execute(() -> swim.takes(clients));
+    }
+
     /** What it held to be the fleet up to a tenth of a second ago; null before the start. */
     public View view() {
         return view;
--- a/node/src/main/java/cedarrelay/Balancer.java
+++ b/node/src/main/java/cedarrelay/Balancer.java
@@ -54,6 +54,14 @@
     /** How a probe ended; {@code report} as in {@link Outcome}. */
     void onProbe(long nowUs, String serverId, Result result, long latencyUs, double[] report);
 
+    /**
+     * How many nodes there are, this one included, in place of {@link Settings#nodes}.
+     *
+     * @param present nodes that take clients; 0: not known any more, the settings' number holds
+     * @param lost nodes that were there and have fallen silent: they may serve on where this one can't see
+     */
+    void onFleet(long nowUs, int present, int lost);
+
     /** The time asked for with {@link Actions#wakeAt} has come. */
     void onWake(long nowUs);
 
--- a/node/src/main/java/cedarrelay/ServiceQBalancer.java
+++ b/node/src/main/java/cedarrelay/ServiceQBalancer.java
@@ -11,21 +11,18 @@
 import java.util.SplittableRandom;
 
 /**
- * Every decision of the load balancer. Its interface, meaning all types, events and actions, stands in
- * {@code Balancer.java}.
- *
- * <p>The ordinary path is ServiceQ's: a failed attempt adds one to its server's error count, a success
- * clears it; a first try draws two servers by weights that fall with the count and goes to the one with
- * fewer of this node's own requests in flight; a failure that may be repeated passes to the next server
- * in list order; when nothing can be tried the request waits, first come first served, inside the
- * client's time. Departures are marked "Exception" below and explained in docs/design.md.
+ * Every decision of the load balancer; its interface is {@link Balancer}. The ordinary path is ServiceQ's: a
+ * failed attempt adds one to its server's error count, a success clears it; a first try draws two servers by
+ * weights that fall with the count and goes to the one with fewer of this node's own requests in flight; a
+ * failure that may be repeated passes to the next server in list order; when nothing can be tried the request
+ * waits, first come first served, inside the client's time. Departures are marked "Exception" below and
+ * explained in docs/design.md.
  */
 public final class ServiceQBalancer implements Balancer {
 
     /** How many times a drawn server that may not be sent to is drawn again before all are looked through. */
     private static final int REDRAWS = 3;
-    /** Power of a server's size in its weight: a large one that is as busy as a small one still answers
-     * sooner, so even work by size leaves the small ones too much. */
+    /** Power of a server's size in its weight. */
     private static final double SIZE_POWER = 1.5;
     /** Share of a new answer in a server's pace. */
     private static final double PACE_GAIN = 0.3;
@@ -33,8 +30,7 @@
     private static final double PACE_KEPT = 12;
     /** Times left that differ by less than this share of the deadline are the same. */
     private static final double USUAL_LEFT_WITHIN = 0.02;
-    /** From this share of a class's requests on a time left is the one of first tries: in a jam most are
-     * not. */
+    /** From this share of a class's requests on a time left is the one of first tries. */
     private static final double USUAL_LEFT_AT = 0.2;
     /** A probe is waited for during this share of the usual latency of a request's class. */
     private static final double ASK_FOR = 0.25;
@@ -44,8 +40,7 @@
     private static final double FAULTY = 0.1;
     /** A failure counts in the pace as an answer that took so many times the usual. */
     private static final double FAULT_PACE = 5;
-    /** Paces that differ by less are alike: so a server is tried again once its trouble is nearly
-     * forgotten. */
+    /** Paces that differ by less are alike. */
     private static final double PACE_ALIKE = 0.05;
     /** What a new connection adds to an answer, in usual ones: up to three round trips and 3 ms of work. */
     private static final double HANDSHAKE = 0.2;
@@ -81,13 +76,13 @@
     private static final double BURST = 2.5;
     /** Growth of that least mean with each answer, so that it follows a change of work: by half in 4,000. */
     private static final double LEAST_DRIFT = 1.0001;
-    /** Power of the number of nodes with which step and cut grow: at 0 a node of many learns too slowly,
-     * at a half chance rules and limits swing into jams. */
+    /** Power of the number of nodes with which step and cut grow. */
     private static final double LEARN_BY_NODES = 0.25;
     /** Cut of a limit for a request turned away or not answered in time, which is more than slow. */
     private static final double LIMIT_HARD_CUT = 0.3;
-    /** A waiting request with fewer of its class's usual latencies left to its aim is too late: from there
-     * it must have a good chance (i75e589) ... */
+    /**
+     * A waiting request with fewer of its class's usual latencies left to its aim is too late (i75e589) ...
+     */
     private static final double TOO_LATE_AT = 2;
     /** ... but at most with this share of the aim left: while all servers are slow, some may still wait. */
     private static final double MOST_LATE_AT = 0.8;
@@ -132,6 +127,7 @@
     private double presentWeight;
     private long presentAt;
     private int ejectedServers;
+    private int nodes;
     private long logFreeAt;
 
     private final Map<Long, Call> calls = new HashMap<>();
@@ -188,7 +184,8 @@
         random = new SplittableRandom(seed);
         sweepUs = Math.max(MIN_SWEEP_US, 2 * settings.tickUs);
         // Both by the same factor: for all nodes together the balance between step and cut stays.
-        double pace = Math.pow(set.nodes, LEARN_BY_NODES);
+        nodes = set.nodes;
+        double pace = Math.pow(nodes, LEARN_BY_NODES);
         limitStep = LIMIT_STEP / pace;
         limitCut = 1 - Math.pow(1 - LIMIT_CUT, pace);
         latencyUs = new double[set.classes.size()];
@@ -213,7 +210,7 @@
             listed.clear();
         }
         for (ServerEntry entry : entries) {
-            Server server = byId.computeIfAbsent(entry.id(), id -> new Server(id, FIRST_LIMIT / set.nodes));
+            Server server = byId.computeIfAbsent(entry.id(), id -> new Server(id, FIRST_LIMIT / nodes));
             if (entry.state() == ServerState.GONE) {
                 listed.remove(server);
             } else {
@@ -223,8 +220,7 @@
                 // A new process: what was counted against the old one says nothing of it.
                 restore(server);
                 server.startedAt = entry.startedAtUs();
-                // All nodes learn of a start at about the same time: they must not all send at once
-                // (icd7515).
+                // Nodes learn of a start together: they must not all send at once (icd7515).
                 server.coldRoomAt = now;
                 server.coldRoom = random.nextDouble();
             }
@@ -273,6 +269,19 @@
         scheduleWake();
     }
 
+    @Override
+    public void onFleet(long nowUs, int present, int lost) {
+        now = nowUs;
+        // A lost one may only be cut off, and serve; and the few of many that tell so far are not the fleet.
+        int counted = present == 0 ? set.nodes : Math.max((set.nodes + 1) / 2, present + lost);
+        // What each may have at a server is handed on with its share.
+        byId.values().forEach(server -> server.limit *= (double) nodes / counted);
+        nodes = counted;
+        countReady();
+        serveWaiting();
+        scheduleWake();
+    }
+
     private void askForList() {
         out.subscribe();
         askListAt = now + Math.max(1, set.askWithinUs / 2);
@@ -604,7 +613,7 @@
         server.history = 0;
         server.ejected = false;
         server.trialsWon = 0;
-        server.limit = FIRST_LIMIT / set.nodes;
+        server.limit = FIRST_LIMIT / nodes;
     }
 
     /** An ejected server that is due for a trial with this repeatable request, or null. */
@@ -689,7 +698,7 @@
     private boolean ask(Call call) {
         double usual = latencyUs[call.request.classIndex()];
         long waitUs = Math.max(3 * set.tickUs, (long) (ASK_FOR * usual));
-        if (!set.probes || set.nodes <= ready.length || usual == 0 || ejectedServers > 0 && trialDue(call)
+        if (!set.probes || nodes <= ready.length || usual == 0 || ejectedServers > 0 && trialDue(call)
                 || call.aimAt - now < 2 * waitUs
                 || call.worth / usualWorth * lateShare * ASK_GAIN < 2 * set.probePrice) {
             return false;
@@ -926,14 +935,13 @@
     }
 
     /**
-     * What a request earns for the work it takes, by which the queue is ordered: its class's worth, less
-     * if its tenant is beyond this node's part of its share, over the usual latency of its class as the
-     * measure of work.
+     * What a request earns for the work it takes, by which the queue is ordered: its class's worth, less if
+     * its tenant is beyond this node's part of its share, over its class's usual latency.
      */
     private double value(Call call) {
         double worth = call.cls.worth();
         int tenant = call.request.tenant();
-        double quota = tenant < 0 ? 0 : set.tenants.get(tenant).quotaPerS() / set.nodes;
+        double quota = tenant < 0 ? 0 : set.tenants.get(tenant).quotaPerS() / nodes;
         if (quota > 0) {
             double most = Math.max(1, quota * SHARE_BURST_S);
             double since = shareSeenAt[tenant] == 0 ? SHARE_BURST_S : (now - shareSeenAt[tenant]) / 1e6;
@@ -953,9 +961,8 @@
     // ---------------------------------------------------------------- concurrency limits
 
     /**
-     * Exception, concurrency limits: each server's limit grows when it was met while a request was out
-     * that was answered well inside the aim, and falls when answers are slow. Acts only when a draw would
-     * exceed it, or the node the sum of all limits (with many nodes a server's part is under one).
+     * Exception, concurrency limits: each server's limit grows when it was met while a request was out that
+     * was answered well inside the aim, and falls when answers are slow. All together bind the node.
      */
     private void adaptLimit(Call call, int attempt, Outcome outcome) {
         Server server = call.servers[attempt];
@@ -972,8 +979,8 @@
             unitGapUs += meanGain(servedCount) * ((now - lastServedAt) * presentWeight() - unitGapUs);
             lastServedAt = now;
             if (outcome.latencyUs() <= crowded) {
-                // A cold server gets little and is quick with it: were its limit to pass the others', all
-                // nodes together would choke it as soon as slow start lets go (i3a094a).
+                // A cold server gets little and is quick with it: its limit must not pass the others'
+                // (i3a094a).
                 server.limit += server.wantedAt >= call.sentAt[attempt]
                         && (!isCold(server) || server.limit * ready.length < limits) ? limitStep : 0;
             } else {
@@ -991,7 +998,7 @@
     private void cutLimit(Call call, int attempt, double cut) {
         Server server = call.servers[attempt];
         if (call.sentAt[attempt] >= server.limitCutAt) {
-            server.limit = Math.max(1.0 / set.nodes, server.limit * (1 - cut));
+            server.limit = Math.max(1.0 / nodes, server.limit * (1 - cut));
             server.limitCutAt = now;
         }
     }
@@ -1000,8 +1007,7 @@
         if (isThrottled()) {
             return true;
         }
-        // The sum guards against a stall: what many nodes may each have at every server is then out at
-        // once. A burst's room grows with the first answers and shrinks with health, none at half (i6d5d9b).
+        // A burst's room grows with the first answers and shrinks with health, none at half (i6d5d9b).
         double well = Math.min(1, HEALTH_GAIN * servedCount) * Math.max(0, 2 * health - 1);
         double burst = BURST * well * Math.sqrt(limits);
         if (isAtLimit(server) || inFlight > 0 && inFlight + 1 > limits + burst) {
@@ -1123,8 +1129,7 @@
     }
 
     private boolean isAllowed(Call call, Server server) {
-        if (server.state != ServerState.READY
-                || isCold(server) && coldRoom(server) < 1) {
+        if (server.state != ServerState.READY || isCold(server) && coldRoom(server) < 1) {
             return false;
         }
         int binding = call.cls.repeat() == Repeat.KEYED ? call.binding() : -1;
@@ -1140,9 +1145,8 @@
     }
 
     /**
-     * Exception, slow start (rule 4): the unit is a cold server's part of what this node gets answered for
-     * each unit of the fleet's present capacity. All nodes together may send so many units as the rule's
-     * multiple; each spends half of that, saves up little and begins with a random part of one request.
+     * Exception, slow start (rule 4): the unit is a cold server's part of what this node gets answered by
+     * present capacity; a half of the rule's multiple of it is spent, beginning with a random part of one.
      */
     private double coldRoom(Server server) {
         double unit = servedCount == 0 ? FIRST_GAP_US * presentWeight()
--- a/node/src/main/java/cedarrelay/node/Lifecycle.java
+++ b/node/src/main/java/cedarrelay/node/Lifecycle.java
@@ -1,5 +1,7 @@
 package cedarrelay.node;
 
+import java.util.function.Consumer;
+
 /**
  * Whether this process takes clients: the one state behind {@code /ready}, the operators' calls and SIGTERM.
  * Any thread may change or read it; the client side follows it on its own loop.
@@ -11,6 +13,7 @@
 
     private boolean started;
     private volatile State state = State.STARTING;
+    private Consumer<State> watcher = changed -> { };
 
     State state() {
         return state;
@@ -26,31 +29,44 @@
         return state.compareTo(State.LAME_DUCK) >= 0;
     }
 
+    /** Is told of each change from now on, by the thread that makes it; of the present state at once. */
+    synchronized void watch(Consumer<State> to) {
+        watcher = to;
+        to.accept(state);
+    }
+
+    private void become(State other) {
+        if (state != other) {
+            state = other;
+            watcher.accept(other);
+        }
+    }
+
     /** The start is over. A word to send clients away that came before it still holds. */
     synchronized void started() {
         started = true;
         if (state == State.STARTING) {
-            state = State.TAKING;
+            become(State.TAKING);
         }
     }
 
     /** Sends clients away, and goes on running. */
     synchronized void sendAway() {
         if (state != State.STOPPING) {
-            state = State.LAME_DUCK;
+            become(State.LAME_DUCK);
         }
     }
 
     /** Takes clients again; false if it is too late for that. */
     synchronized boolean takeAgain() {
         if (state == State.LAME_DUCK) {
-            state = started ? State.TAKING : State.STARTING;
+            become(started ? State.TAKING : State.STARTING);
         }
         return state != State.STOPPING;
     }
 
     /** Sends clients away for good. */
     synchronized void stop() {
-        state = State.STOPPING;
+        become(State.STOPPING);
     }
 }
--- a/node/src/main/java/cedarrelay/node/Main.java
+++ b/node/src/main/java/cedarrelay/node/Main.java
@@ -48,7 +48,7 @@
             rehearse();
             return;
         }
-        serve(new Environment(), null);
+        serve(new Environment(), null, null);
     }
 
     /**
@@ -57,8 +57,9 @@
      * @param json gives it in the platform's form, at the start and again at each SIGHUP; throws
      *     IllegalArgumentException with one line if there is none to be had
      * @param metrics makes the operators' page {@code /metrics} of the text of {@code /_vars}
+     * @param peers knows of the other nodes; null if nothing does
      */
-    public static void serve(Supplier<String> json, UnaryOperator<String> metrics) {
+    public static void serve(Supplier<String> json, UnaryOperator<String> metrics, Peers peers) {
         serve(new Source() {
             @Override
             public Config read() {
@@ -69,7 +70,7 @@
             public Config reread() {
                 return read();
             }
-        }, metrics);
+        }, metrics, peers);
     }
 
     /** Throws IllegalArgumentException with one line if a node could not start with this. */
@@ -103,7 +104,7 @@
         }
     }
 
-    private static void serve(Source source, UnaryOperator<String> metrics) {
+    private static void serve(Source source, UnaryOperator<String> metrics, Peers peers) {
         EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         EventLoop loop = group.next();
         Config config;
@@ -116,6 +117,10 @@
             return;
         }
         Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(node, loop), "stop"));
+        if (peers != null) {
+            peers.watch(node::onFleet);
+            node.lifecycle().watch(state -> peers.taking(state == Lifecycle.State.TAKING));
+        }
         onHangUp(() -> reload(source, node, loop));
         if (config.admin() != null) {
             EventLoopGroup callers = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
--- a/node/src/main/java/cedarrelay/node/Node.java
+++ b/node/src/main/java/cedarrelay/node/Node.java
@@ -315,6 +315,11 @@
         discovery.move(changed.discovery());
     }
 
+    /** How many nodes there are has changed, as {@link Balancer#onFleet} takes it; from any thread. */
+    void onFleet(int present, int lost) {
+        loop.execute(() -> enter(null, () -> balancer.onFleet(nowUs(), present, lost)));
+    }
+
     /** Stops taking requests after a while and runs {@code done} as soon as all are answered. */
     void stop(Runnable done) {
         lifecycle.stop();
--- /dev/null
+++ b/node/src/main/java/cedarrelay/node/Peers.java
@@ -0,0 +1,17 @@
+package cedarrelay.node;
+
+/** What knows of the other nodes, if anything does. Called from any thread, and never waited for. */
+public interface Peers {
+
+    /** What is told of them: numbers as the module takes them. */
+    interface Watcher {
+        /** See {@link cedarrelay.Balancer#onFleet}; called from any thread. */
+        void counted(int present, int lost);
+    }
+
+    /** Tells the watcher at each change from now on. */
+    void watch(Watcher watcher);
+
+    /** Whether this node takes clients has changed. */
+    void taking(boolean takes);
+}
