Count a fleet's nodes in one place for real and virtual worlds; virtual nodes follow it

Need: the virtual world's nodes went by the settings' number while the real ones followed their fleet. Change: NodeCount, with its bound on a view's age, stands in fleet and is used by FleetShare and by VirtualRun; its test went along.

--- a/rig/src/main/java/tansypass/rig/virtual/VirtualNode.java
+++ b/rig/src/main/java/tansypass/rig/virtual/VirtualNode.java
@@ -238,6 +238,11 @@
         });
     }
 
+    /** How many nodes there are, as {@link Balancer#onFleet} takes it. */
+    void onFleet(int present, int lost) {
+        enter(() -> balancer.onFleet(scheduler.nowUs(), present, lost));
+    }
+
     int inFlight() {
         return held.size();
     }
--- a/rig/src/main/java/tansypass/rig/virtual/VirtualRun.java
+++ b/rig/src/main/java/tansypass/rig/virtual/VirtualRun.java
@@ -23,6 +23,7 @@
 import tansypass.fleet.membership.Identity;
 import tansypass.fleet.membership.Member;
 import tansypass.fleet.membership.MembershipSettings;
+import tansypass.fleet.membership.NodeCount;
 import tansypass.rig.judge.Judge;
 import tansypass.rig.judge.MemberJudge;
 import tansypass.rig.model.Arrivals;
@@ -99,6 +100,14 @@
         private boolean starting;
         private boolean startWanted;
         private Judge.Excuse pause;
+        private NodeCount count;
+
+        /** Its own view has changed. */
+        void look() {
+            if (count != null) {
+                count.look(fleet.view(number), 0);
+            }
+        }
 
         NodePlace(int number) {
             this.number = number;
@@ -126,6 +135,8 @@
                 fleet.start(number, IntStream.range(0, Math.min(SEEDS, nodes.size())).boxed().toList(), 0,
                         "rig");
                 judge.members().is(number, life(fleet.swim(number).self()));
+                VirtualNode counting = node;
+                count = new NodeCount(counting::onFleet);
             }
         }
 
@@ -198,6 +209,7 @@
             });
             process.kill();
             node = null;
+            count = null;
             life++;
             leaving = false;
             if (startWanted) {
@@ -408,6 +420,7 @@
                     scenario.nodes().zones(), queue,
                     VirtualFleet.Kind.SWIM);
             fleet.watch((viewer, before, after) -> {
+                nodes.get(viewer).look();
                 if (after != null) {
                     judge.members().viewed(queue.nowUs(), viewer, life(fleet.swim(viewer).self()),
                             line(after));
--- a/cli/src/test/java/tansypass/cli/FleetShareTest.java
+++ b/rig/src/test/java/tansypass/rig/virtual/NodeCountTest.java
@@ -1,4 +1,4 @@
-package tansypass.cli;
+package tansypass.rig.virtual;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
@@ -11,13 +11,14 @@
 import tansypass.fleet.membership.Identity;
 import tansypass.fleet.membership.Member;
 import tansypass.fleet.membership.MemberState;
+import tansypass.fleet.membership.NodeCount;
 import tansypass.fleet.membership.Role;
 import tansypass.fleet.membership.View;
 
 /** What a node hears of its fleet, and when it hears that nothing is known. */
-class FleetShareTest {
+class NodeCountTest {
     private final List<String> told = new ArrayList<>();
-    private final FleetShare share = new FleetShare(null);
+    private final NodeCount count = new NodeCount((present, lost) -> told.add(present + " " + lost));
 
     private static Member member(String name, MemberState state, boolean away) {
         return new Member(new Identity(name, 1, 1, "a", Role.NODE, new InetSocketAddress("127.0.0.1", 1),
@@ -26,8 +27,7 @@
     }
 
     private void look(boolean joined, long ageUs, Member... members) {
-        share.look(new View(1, "x", 0, joined, 0, List.of(members), Map.of()), ageUs,
-                (present, lost) -> told.add(present + " " + lost));
+        count.look(new View(1, "x", 0, joined, 0, List.of(members), Map.of()), ageUs);
     }
 
     @Test
@@ -40,8 +40,8 @@
         look(true, 0, a, member("b", MemberState.FAILED, false));
         look(true, 0, a, member("b", MemberState.ALIVE, true));
         look(true, 0, a, member("b", MemberState.FAILED, true));
-        look(true, FleetShare.MOST_AGE_US + 1, a, b);
-        look(true, FleetShare.MOST_AGE_US, a, b);
+        look(true, NodeCount.MOST_AGE_US + 1, a, b);
+        look(true, NodeCount.MOST_AGE_US, a, b);
         assertEquals(List.of("2 0", "1 1", "1 0", "0 0", "2 0"), told);
     }
 }
