--- a/node/src/main/java/cedarrelay/ServiceQBalancer.java
+++ b/node/src/main/java/cedarrelay/ServiceQBalancer.java
@@ -80,9 +80,7 @@
     private static final double LEARN_BY_NODES = 0.25;
     /** Cut of a limit for a request turned away or not answered in time, which is more than slow. */
     private static final double LIMIT_HARD_CUT = 0.3;
-    /**
-     * A waiting request with fewer of its class's usual latencies left to its aim is too late (i75e589) ...
-     */
+    /** A waiting request with fewer of its class's usual latencies to its aim is too late (i75e589) ... */
     private static final double TOO_LATE_AT = 2;
     /** ... but at most with this share of the aim left: while all servers are slow, some may still wait. */
     private static final double MOST_LATE_AT = 0.8;
@@ -979,8 +977,7 @@
             unitGapUs += meanGain(servedCount) * ((now - lastServedAt) * presentWeight() - unitGapUs);
             lastServedAt = now;
             if (outcome.latencyUs() <= crowded) {
-                // A cold server gets little and is quick with it: its limit must not pass the others'
-                // (i3a094a).
+                // A cold server, quick with the little it gets, must not pass the others' limits (i3a094a).
                 server.limit += server.wantedAt >= call.sentAt[attempt]
                         && (!isCold(server) || server.limit * ready.length < limits) ? limitStep : 0;
             } else {
