--- a/rig/src/main/java/tansypass/rig/real/RealRun.java
+++ b/rig/src/main/java/tansypass/rig/real/RealRun.java
@@ -53,7 +53,7 @@
 public final class RealRun implements FaultPlan.World {
     private static final Logger LOG = LoggerFactory.getLogger(RealRun.class);
 
-    /** Clients come when all nodes are ready, or after 30 s (DEPLOY). */
+    /** Clients come when all nodes are ready, or after 30 s (DEPLOY); many at once need a second each. */
     private static final long READY_WITHIN_S = 30;
     private static final long ASK_EVERY_US = 100_000;
     /** SIGKILL comes no earlier than the longest deadline and 0.7 s after SIGTERM (PROTOCOL). */
@@ -352,9 +352,9 @@
             awaitReady(ready);
         });
         try {
-            ready.get(READY_WITHIN_S, TimeUnit.SECONDS);
+            ready.get(readyWithinS(), TimeUnit.SECONDS);
         } catch (TimeoutException e) {
-            throw new IOException("not ready within " + READY_WITHIN_S + " s: " + places.stream()
+            throw new IOException("not ready within " + readyWithinS() + " s: " + places.stream()
                     .filter(p -> !p.up).map(p -> "node-" + p.number + " (" + p.process.lastLines() + ")")
                     .toList(), e);
         } catch (ExecutionException e) {
@@ -362,6 +362,10 @@
         }
     }
 
+    private long readyWithinS() {
+        return Math.max(READY_WITHIN_S, places.size());
+    }
+
     private void awaitReady(CompletableFuture<Void> ready) {
         if (!judge.breaches().isEmpty()) {
             ready.completeExceptionally(new IOException(judge.breaches().get(0).what()));
