--- a/cli/src/main/java/tansypass/cli/ExploreCommand.java
+++ b/cli/src/main/java/tansypass/cli/ExploreCommand.java
@@ -5,7 +5,10 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.IntConsumer;
 
+import com.google.gson.JsonObject;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.ITypeConverter;
 import picocli.CommandLine.Model.CommandSpec;
@@ -27,6 +30,8 @@
                 + " that"
             + " breaks a rule as small as it gets. Exit code 3: one was found.")
 final class ExploreCommand implements Callable<Integer> {
+    private static final long TELL_EVERY_NS = 5_000_000_000L;
+
     @Parameters(paramLabel = "FILE", description = "the scenario; its own faults are played too")
     private String file;
     @Option(names = "--budget", defaultValue = "60s", converter = Budget.class,
@@ -41,6 +46,8 @@
     @Option(names = "--keep", paramLabel = "DIR", defaultValue = "scenarios/found",
             description = "where a schedule that breaks a rule is kept; default scenarios/found")
     private Path keep;
+    @Option(names = "--json", paramLabel = "OUT", description = "where the result goes as JSON")
+    private Path json;
     @Spec
     private CommandSpec spec;
 
@@ -66,18 +73,22 @@
             return Exit.UNUSABLE;
         }
         long startNs = System.nanoTime();
-        Explorer.Result result = new Explorer(world, VirtualRun::play).explore(seed, budgetMs, most,
+        Explorer.Result result = new Explorer(world, VirtualRun::play, progress(startNs)).explore(seed, budgetMs, most,
                 threads > 0 ? threads : Runtime.getRuntime().availableProcessors());
         PrintWriter out = spec.commandLine().getOut();
         out.printf("%s: %d schedules in %.1f s%n", world.name(), result.tried(),
                 (System.nanoTime() - startNs) / 1e9);
+        if (json != null) {
+            Files.writeString(json, json(world, result).toString());
+        }
         if (result.found().isEmpty()) {
             out.println("no rule was broken");
             out.flush();
             return Exit.OK;
         }
         Explorer.Found found = result.found().get();
-        Path kept = Files.createDirectories(keep).resolve(world.name() + "-" + found.seed() + ".toml");
+        Path kept = kept(world, found);
+        Files.createDirectories(keep);
         Files.writeString(kept, ScenarioToml.of(found.smallest()));
         out.println("RULE BROKEN " + found.breach());
         for (Fault fault : found.smallest().faults()) {
@@ -87,4 +98,40 @@
         out.flush();
         return Exit.NO;
     }
+
+    private Path kept(Scenario world, Explorer.Found found) {
+        return keep.resolve(world.name() + "-" + found.seed() + ".toml");
+    }
+
+    /** A line now and then for who waits; beside the result, so that it can be told from it. */
+    private IntConsumer progress(long startNs) {
+        PrintWriter err = spec.commandLine().getErr();
+        AtomicLong nextNs = new AtomicLong(startNs + TELL_EVERY_NS);
+        return tried -> {
+            long nowNs = System.nanoTime();
+            long dueNs = nextNs.get();
+            if (nowNs - dueNs >= 0 && nextNs.compareAndSet(dueNs, nowNs + TELL_EVERY_NS)) {
+                err.printf("%d schedules, %d of %d s%n", tried, (nowNs - startNs) / 1_000_000_000,
+                        budgetMs / 1_000);
+                err.flush();
+            }
+        };
+    }
+
+    private JsonObject json(Scenario world, Explorer.Result result) {
+        JsonObject of = new JsonObject();
+        of.addProperty("scenario", world.name());
+        of.addProperty("first_seed", seed);
+        of.addProperty("tried", result.tried());
+        result.found().ifPresent(found -> {
+            JsonObject breach = new JsonObject();
+            breach.addProperty("rule", found.breach().rule().name());
+            breach.addProperty("at_us", found.breach().atUs());
+            breach.addProperty("what", found.breach().what());
+            breach.addProperty("seed", found.seed());
+            breach.addProperty("kept", kept(world, found).toString());
+            of.add("found", breach);
+        });
+        return of;
+    }
 }
--- a/cli/src/test/java/tansypass/cli/CommandsTest.java
+++ b/cli/src/test/java/tansypass/cli/CommandsTest.java
@@ -63,6 +63,26 @@
         assertTrue(out.toString().endsWith("1 fault\n"), out.toString());
     }
 
+    @Test
+    void exploringWritesWhatItTriedAsJson() throws IOException {
+        Path json = folder.resolve("explored.json");
+        String world = """
+                name = "w"
+                length = "1s"
+                [[classes]]
+                name = "search"
+                """;
+        assertEquals(Exit.OK, run("rig", "explore", file(world), "--most", "3", "--threads", "1", "--json",
+                json.toString()));
+        assertEquals("{\"scenario\":\"w\",\"first_seed\":1,\"tried\":3}", Files.readString(json));
+    }
+
+    @Test
+    void membershipsFiguresRefuseSizesThatCannotBe() {
+        assertEquals(Exit.UNUSABLE, run("rig", "fleet", "--nodes", "10,2"));
+        assertEquals(Exit.UNUSABLE, run("rig", "fleet", "--loss", "1"));
+    }
+
     @Test
     void helpAndVersionAreAnsweredAndAnUnknownCommandIsNot() {
         assertEquals(Exit.OK, run("--help"));
--- a/rig/src/main/java/tansypass/rig/explore/Explorer.java
+++ b/rig/src/main/java/tansypass/rig/explore/Explorer.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.IntConsumer;
 
 import tansypass.fleet.env.Randoms;
 import tansypass.rig.judge.Breach;
@@ -28,6 +29,7 @@
 
     private final Scenario world;
     private final Play play;
+    private final IntConsumer progress;
 
     /** How a scenario is played. */
     public interface Play {
@@ -50,8 +52,14 @@
 
     /** The world's own faults are played together with those that are drawn. */
     public Explorer(Scenario world, Play play) {
+        this(world, play, tried -> { });
+    }
+
+    /** The same, with somebody to tell how many schedules have been played; by any of the threads. */
+    public Explorer(Scenario world, Play play, IntConsumer progress) {
         this.world = world;
         this.play = play;
+        this.progress = progress;
     }
 
     /**
@@ -72,7 +80,7 @@
                 workers.add(pool.submit(() -> {
                     long seed = next.getAndIncrement();
                     while (seed < firstSeed + most && seed < broken.get() && System.nanoTime() < untilNs) {
-                        tried.incrementAndGet();
+                        progress.accept(tried.incrementAndGet());
                         if (play.judge(drawn(seed), seed).broken() > 0) {
                             broken.accumulateAndGet(seed, Math::min);
                         }
