--- a/cli/src/main/java/tansypass/cli/ExploreCommand.java
+++ b/cli/src/main/java/tansypass/cli/ExploreCommand.java
@@ -73,7 +73,8 @@
             return Exit.UNUSABLE;
         }
         long startNs = System.nanoTime();
-        Explorer.Result result = new Explorer(world, VirtualRun::play, progress(startNs)).explore(seed, budgetMs, most,
+        Explorer.Result result = new Explorer(world, VirtualRun::play, progress(startNs)).explore(seed,
+                budgetMs, most,
                 threads > 0 ? threads : Runtime.getRuntime().availableProcessors());
         PrintWriter out = spec.commandLine().getOut();
         out.printf("%s: %d schedules in %.1f s%n", world.name(), result.tried(),
