--- a/rig/src/main/java/tansypass/rig/judge/MemberJudge.java
+++ b/rig/src/main/java/tansypass/rig/judge/MemberJudge.java
@@ -61,7 +61,8 @@
 
         private void seen(long nowUs) {
             firstUs = firstUs < 0 ? nowUs - atUs : firstUs;
-            lastUs = nowUs - atUs;
+            firstUs = Math.min(firstUs, nowUs - atUs);
+            lastUs = Math.max(lastUs, nowUs - atUs);
             observers++;
         }
     }
