--- a/rig/src/main/java/tansypass/rig/report/FleetPlot.java
+++ b/rig/src/main/java/tansypass/rig/report/FleetPlot.java
@@ -5,7 +5,11 @@
 import java.awt.Font;
 import java.io.File;
 import java.io.IOException;
+import java.text.NumberFormat;
 import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
 
 import org.jfree.chart.ChartUtils;
 import org.jfree.chart.JFreeChart;
@@ -23,19 +27,24 @@
 public final class FleetPlot {
     private static final int WIDTH = 900;
     private static final int HEIGHT_EACH = 260;
-    /** The figures that are drawn, by their index among {@link FleetTrial#NAMES}. */
-    private static final List<Integer> DRAWN = List.of(2, 3, 5, 7);
+    /** The figures that are drawn, by their index among {@link FleetTrial#NAMES}, with their axes' texts. */
+    private static final Map<Integer, String> DRAWN = new TreeMap<>(Map.of(2, "death in all views, s",
+            3, "halves agree again after, s", 5, "bytes a second, each", 7, "processor us a second, each"));
     private static final float[] DASHES = {6, 4};
 
     private FleetPlot() { }
 
     /** Writes a PNG. */
     public static void write(List<Row> rows, File file) throws IOException {
-        CombinedDomainXYPlot all = new CombinedDomainXYPlot(new LogAxis("processes"));
+        LogAxis sizes = new LogAxis("processes");
+        sizes.setNumberFormatOverride(NumberFormat.getIntegerInstance(Locale.ROOT));
+        CombinedDomainXYPlot all = new CombinedDomainXYPlot(sizes);
         all.setGap(16);
         List<String> kinds = rows.stream().map(Row::kind).distinct().toList();
-        for (int index : DRAWN) {
-            all.add(plot(rows, FleetTrial.NAMES.get(index), kinds));
+        boolean first = true;
+        for (Map.Entry<Integer, String> drawn : DRAWN.entrySet()) {
+            all.add(plot(rows, FleetTrial.NAMES.get(drawn.getKey()), drawn.getValue(), kinds, first));
+            first = false;
         }
         JFreeChart chart = new JFreeChart("Membership by size: median (line) and worst (dashed)",
                 new Font(Font.SANS_SERIF, Font.PLAIN, 16), all, true);
@@ -43,7 +52,8 @@
         ChartUtils.saveChartAsPNG(file, chart, WIDTH, DRAWN.size() * HEIGHT_EACH);
     }
 
-    private static XYPlot plot(List<Row> rows, String figure, List<String> kinds) {
+    private static XYPlot plot(List<Row> rows, String figure, String label, List<String> kinds,
+            boolean inLegend) {
         XYSeriesCollection data = new XYSeriesCollection();
         XYLineAndShapeRenderer renderer = new XYLineAndShapeRenderer(true, true);
         for (int k = 0; k < kinds.size(); k++) {
@@ -66,8 +76,8 @@
                     BasicStroke.JOIN_MITER, 1,
                     DASHES, 0));
         }
-        renderer.setDefaultSeriesVisibleInLegend(figure.equals(FleetTrial.NAMES.get(DRAWN.get(0))));
-        NumberAxis axis = new NumberAxis(figure);
+        renderer.setDefaultSeriesVisibleInLegend(inLegend);
+        NumberAxis axis = new NumberAxis(label);
         axis.setLabelFont(new Font(Font.SANS_SERIF, Font.PLAIN, 10));
         XYPlot plot = new XYPlot(data, null, axis, renderer);
         plot.setBackgroundPaint(Color.WHITE);
