--- a/cli/src/main/java/tansypass/cli/Membership.java
+++ b/cli/src/main/java/tansypass/cli/Membership.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.security.SecureRandom;
+import java.time.Clock;
 import java.util.Locale;
 
 import org.slf4j.Logger;
@@ -22,12 +23,12 @@
     private Membership() { }
 
     /** Begins to join; null if the node is no member, or its address can't be had. */
-    static FleetMember begin(NodeFile file) {
+    static FleetMember begin(NodeFile file, Clock wallClock) {
         if (file.fleet() == null) {
             return null;
         }
         SecureRandom random = new SecureRandom();
-        Identity self = new Identity(file.name(), System.currentTimeMillis(), random.nextLong(), file.zone(),
+        Identity self = new Identity(file.name(), wallClock.millis(), random.nextLong(), file.zone(),
                 Role.NODE, file.fleet().advertise(), file.fleet().deployment(), Codec.VERSION, Codec.VERSION);
         FleetMember member = new FleetMember(MembershipSettings.DEFAULT.in(file.fleet().periodUs(),
                 file.fleet().probeUs()), self, file.fleet().listen(), file.fleet().seeds(),
--- a/cli/src/main/java/tansypass/cli/NodeCommand.java
+++ b/cli/src/main/java/tansypass/cli/NodeCommand.java
@@ -1,6 +1,8 @@
 package tansypass.cli;
 
 import java.io.IOException;
+import java.time.Clock;
+import java.time.Duration;
 import java.util.concurrent.Callable;
 
 import picocli.CommandLine.Command;
@@ -20,6 +22,9 @@
     private String file;
     @Option(names = "--with-parent", hidden = true, description = "end at once when standard input closes")
     private boolean withParent;
+    @Option(names = "--wall-clock-offset", hidden = true, defaultValue = "0",
+            description = "milliseconds that this process's wall clock is off, as after a step; for the rig")
+    private long clockOffsetMs;
     @Spec
     private CommandSpec spec;
 
@@ -37,7 +42,7 @@
             endWithParent();
         }
         Reload reload = new Reload(file, System.getenv(), first);
-        FleetMember member = Membership.begin(first);
+        FleetMember member = Membership.begin(first, Clock.offset(Clock.systemUTC(), Duration.ofMillis(clockOffsetMs)));
         cedarrelay.node.Main.serve(() -> PlatformJson.of(reload.next()), new MetricsPage(member),
                 member == null ? null : new FleetShare(member));
         return Exit.GOES_ON;
--- a/cli/src/test/java/tansypass/cli/MembersTest.java
+++ b/cli/src/test/java/tansypass/cli/MembersTest.java
@@ -43,7 +43,7 @@
         return NETWORK + ":" + (7_000 + node);
     }
 
-    private void start(int node) throws IOException {
+    private void start(int node, String... more) throws IOException {
         Path file = folder.resolve("n" + node + ".toml");
         Files.writeString(file, """
                 [node]
@@ -65,6 +65,7 @@
                 """.formatted(node, NETWORK, 8_000 + node, NETWORK, 9_000 + node, address(node),
                 address(0), address(1)));
         List<String> command = new ArrayList<>(Self.command("node", "--with-parent", file.toString()));
+        command.addAll(List.of(more));
         Process process = new ProcessBuilder(command).redirectErrorStream(true)
                 .redirectOutput(folder.resolve("n" + node + ".log").toFile()).start();
         if (node < processes.size()) {
@@ -136,6 +137,26 @@
         }
     }
 
+    @Test
+    void aRestartAfterTheWallClockWasSteppedBackIsALaterLife() throws Exception {
+        for (int i = 0; i < 3; i++) {
+            start(i);
+        }
+        List<String> allAlive = List.of(line(0, "alive"), line(1, "alive"), line(2, "alive"));
+        await(0, allAlive);
+        Pattern life = Pattern.compile("(?m)^n2 .* ([0-9]{10,})");
+        Matcher first = life.matcher(await(1, allAlive));
+        assertTrue(first.find());
+        processes.get(2).destroyForcibly().waitFor();
+        await(0, List.of(line(2, "failed")));
+        start(2, "--wall-clock-offset", "-3600000");
+        for (int i = 0; i < 3; i++) {
+            Matcher later = life.matcher(await(i, allAlive));
+            assertTrue(later.find());
+            assertEquals(Long.parseLong(first.group(1)) + 1, Long.parseLong(later.group(1)));
+        }
+    }
+
     /** What a page {@code /metrics} says after this name; -1 if it does not, or is not there yet. */
     private static long figure(int node, String name) {
         try {
