--- a/cli/src/main/java/tansypass/cli/NodeCommand.java
+++ b/cli/src/main/java/tansypass/cli/NodeCommand.java
@@ -42,7 +42,8 @@
             endWithParent();
         }
         Reload reload = new Reload(file, System.getenv(), first);
-        FleetMember member = Membership.begin(first, Clock.offset(Clock.systemUTC(), Duration.ofMillis(clockOffsetMs)));
+        FleetMember member = Membership.begin(first, Clock.offset(Clock.systemUTC(),
+                Duration.ofMillis(clockOffsetMs)));
         cedarrelay.node.Main.serve(() -> PlatformJson.of(reload.next()), new MetricsPage(member),
                 member == null ? null : new FleetShare(member));
         return Exit.GOES_ON;
