--- a/fleet/src/main/java/tansypass/fleet/env/Randoms.java
+++ b/fleet/src/main/java/tansypass/fleet/env/Randoms.java
@@ -17,7 +17,7 @@
         return RandomSource.XO_RO_SHI_RO_128_PP.create(seedOf(seed, name));
     }
 
-    /** A seed derived from another one. */
+    /** A seed derived from another one: 64 well-mixed bits, the same for the same two on every machine. */
     public static long seedOf(long seed, String name) {
         try {
             byte[] digest = MessageDigest.getInstance("SHA-256")
--- a/fleet/src/main/java/tansypass/fleet/membership/Member.java
+++ b/fleet/src/main/java/tansypass/fleet/membership/Member.java
@@ -25,7 +25,7 @@
     }
 
     /** Whether this takes the place of the other, of the same name. */
-    public boolean overrides(Member other) {
+    boolean overrides(Member other) {
         if (!identity.isSameLife(other.identity)) {
             return identity.isLaterThan(other.identity);
         }
--- a/fleet/src/main/java/tansypass/fleet/membership/MemberTable.java
+++ b/fleet/src/main/java/tansypass/fleet/membership/MemberTable.java
@@ -1,9 +1,5 @@
 package tansypass.fleet.membership;
 
-import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HexFormat;
@@ -12,6 +8,8 @@
 import java.util.SortedMap;
 import java.util.TreeMap;
 
+import tansypass.fleet.env.Randoms;
+
 /** What a process knows of the others and of itself: one line a name, of which the latest news counts. */
 final class MemberTable {
     private final SortedMap<String, Member> members = new TreeMap<>();
@@ -88,13 +86,7 @@
         if (member == null || !member.isPresent()) {
             return 0;
         }
-        try {
-            Identity who = member.identity();
-            return ByteBuffer.wrap(MessageDigest.getInstance("SHA-256").digest((who.name() + ' '
-                    + who.generation() + ' ' + Long.toHexString(who.nonce()))
-                    .getBytes(StandardCharsets.UTF_8))).getLong();
-        } catch (NoSuchAlgorithmException e) {
-            throw new IllegalStateException("every Java has SHA-256", e);
-        }
+        Identity who = member.identity();
+        return Randoms.seedOf(who.nonce(), who.name() + ' ' + who.generation());
     }
 }
