Find a silent watch after 2.5 s, a silent agent after 1 s, and ask again within 0.3 s

Cause: a watch counted as alive for 6 s after any byte (SILENT_MS, heard() in Discovery), half a line or a head included, while what it misses binds 6 s after it fell silent; then came a back-off of up to 3 s (WATCH_AGAIN_MOST_MS), in which news that the agent has binds already, with a grace of 0.5 s at some sites. A move by SIGHUP between a failure and the next try waited for that try, and after a move from no address the try replaced the good watch. A list indented over several lines was malformed at its first line. Change: only a whole message or an empty line is a sign of life, 2.5 s; a head or the rest of a message has 1 s; the next try comes after 25 to 300 ms and its timer belongs to Discovery, so that a move or a call takes its place; messages end where their JSON object does (MessageFrame). The same failure is logged once until a list comes. Option not taken: opening a second watch beside the first one: which of the two is right would have to be decided.

--- a/node/src/main/java/cedarrelay/node/Discovery.java
+++ b/node/src/main/java/cedarrelay/node/Discovery.java
@@ -29,11 +29,17 @@
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.ScheduledFuture;
 
-/** The watch on the list of servers: one at a time, opened when asked for, reported once when it fails. */
+/**
+ * The watch on the list of servers: one at a time, opened when asked for, reported once when it fails. It owns
+ * the timers of the watch and of the next try.
+ */
 final class Discovery {
-    /** A line comes every 2 s, the first one within the call's own time limit: this is well past both. */
-    static final long SILENT_MS = 6_000;
-    private static final int CONNECT_MS = 2_000;
+    /** A line comes every 2 s, and what a silent watch missed binds 6 s after it fell silent: two in a row can
+     * be found and a third one opened before that. Bytes that complete no line are no sign of life. */
+    static final long SILENT_MS = 2_500;
+    /** The agent is on this machine and answers at once: a head, or the rest of a message, takes no longer. */
+    private static final long ANSWER_MS = 1_000;
+    private static final int CONNECT_MS = 1_000;
     /** A line for each of some thousand servers; past it a message is malformed. */
     private static final int MAX_MESSAGE = 1 << 20;
     private static final int MAX_LINE = 4_096;
@@ -53,6 +59,8 @@
     private InetSocketAddress address;
     private long revision;
     private Watch watch;
+    private boolean asked;
+    private ScheduledFuture<?> retry;
 
     /** An address of null means that nothing is told: the list stays as it is. */
     Discovery(EventLoop loop, InetSocketAddress address, long revision, long silentMs, Listener listener) {
@@ -65,28 +73,35 @@
 
     /** Asks for changes from now on; takes the place of a watch that is still open. */
     void subscribe() {
-        if (watch != null) {
-            watch.close();
-            watch = null;
-        }
+        close();
+        asked = true;
         if (address != null) {
             watch = new Watch();
             watch.open();
         }
     }
 
-    /** From now on the list is told at this address, or nowhere; a watch that is open goes on there. */
+    /** Asks again after so long, unless that is asked for before. */
+    void subscribeIn(long ms) {
+        close();
+        retry = loop.schedule(this::subscribe, ms, TimeUnit.MILLISECONDS);
+    }
+
+    /** From now on the list is told at this address, or nowhere: whoever has asked asks there, at once. */
     void move(InetSocketAddress to) {
         if (!Objects.equals(to, address)) {
-            boolean watching = watch != null || address == null;
             address = to;
-            if (watching) {
+            if (asked) {
                 subscribe();
             }
         }
     }
 
     void close() {
+        if (retry != null) {
+            retry.cancel(false);
+            retry = null;
+        }
         if (watch != null) {
             watch.close();
             watch = null;
@@ -96,12 +111,15 @@
     /** One call and the answer that stays open. */
     private final class Watch extends ChannelInboundHandlerAdapter {
         private final ByteBuf text = Unpooled.buffer();
+        private final MessageFrame frame = new MessageFrame();
         private Channel channel;
         private ScheduledFuture<?> silence;
+        private ScheduledFuture<?> unanswered;
         private boolean over;
 
         void open() {
-            silence = loop.schedule(() -> fail("silent"), silentMs, TimeUnit.MILLISECONDS);
+            silence = failIn(silentMs, "silent");
+            unanswered = failIn(Math.min(silentMs, ANSWER_MS), "not answered");
             NioSocketChannel fresh;
             try {
                 fresh = new NioSocketChannel();
@@ -139,6 +157,7 @@
         void close() {
             over = true;
             silence.cancel(false);
+            unanswered.cancel(false);
             if (channel != null) {
                 channel.close();
             }
@@ -166,21 +185,24 @@
             }
         }
 
+        private ScheduledFuture<?> failIn(long ms, String reason) {
+            return loop.schedule(() -> fail(reason), ms, TimeUnit.MILLISECONDS);
+        }
+
         private void read(Object message) {
             if (message instanceof HttpResponse head) {
                 if (head.decoderResult().isFailure() || !head.status().equals(HttpResponseStatus.OK)) {
                     fail("answered " + head.status());
                     return;
                 }
+                unanswered.cancel(false);
             }
             if (message instanceof HttpContent content) {
                 if (content.decoderResult().isFailure()) {
                     fail("malformed: " + content.decoderResult().cause());
                     return;
                 }
-                heard();
-                text.writeBytes(content.content());
-                lines();
+                messages(content.content());
                 if (message instanceof LastHttpContent) {
                     fail("ended");
                 }
@@ -189,24 +211,32 @@
 
         private void heard() {
             silence.cancel(false);
-            silence = loop.schedule(() -> fail("silent"), silentMs, TimeUnit.MILLISECONDS);
+            silence = failIn(silentMs, "silent");
         }
 
-        private void lines() {
-            int end = text.bytesBefore((byte) '\n');
-            while (end >= 0 && !over) {
-                String line = text.toString(text.readerIndex(), end, StandardCharsets.UTF_8);
-                text.skipBytes(end + 1);
-                if (!line.isBlank()) {
-                    ServerList list = ServerList.parse(line);
+        /** Takes what is whole; the rest of a message has to follow soon. */
+        private void messages(ByteBuf more) {
+            text.writeBytes(more);
+            boolean rest = frame.isOpen();
+            while (!over && frame.next(text)) {
+                heard();
+                rest = false;
+                if (frame.length() > 0) {
+                    String json = text.readCharSequence(frame.length(), StandardCharsets.UTF_8).toString();
+                    ServerList list = ServerList.parse(json);
                     revision = list.revision();
                     listener.onList(list);
                 }
-                end = text.bytesBefore((byte) '\n');
+            }
+            if (!rest || !frame.isOpen()) {
+                unanswered.cancel(false);
+            }
+            if (!rest && frame.isOpen() && !over) {
+                unanswered = failIn(Math.min(silentMs, ANSWER_MS), "broken off in a message");
             }
             text.discardSomeReadBytes();
             if (text.readableBytes() > MAX_MESSAGE) {
-                throw new IllegalArgumentException("a line over " + MAX_MESSAGE + " bytes");
+                throw new IllegalArgumentException("a message over " + MAX_MESSAGE + " bytes");
             }
         }
 
--- a/node/src/main/java/cedarrelay/node/Node.java
+++ b/node/src/main/java/cedarrelay/node/Node.java
@@ -50,9 +50,10 @@
     private static final long PROBE_US = 250_000;
     /** An answer that is out of time is still coming if some of it came within this. */
     private static final long SILENT_MS = 250;
-    /** Until a watch that broke is asked for again, the first time and at most. */
-    private static final long WATCH_AGAIN_MS = 100;
-    private static final long WATCH_AGAIN_MOST_MS = 2_000;
+    /** Until a watch that broke is asked for again, the first time and at most. The agent is on this machine,
+     * and what it gets binds at once, watch or not: a gap has to be short against the shortest grace. */
+    private static final long WATCH_AGAIN_MS = 50;
+    static final long WATCH_AGAIN_MOST_MS = 200;
     /** Connections come for up to 0.4 s after the word to stop, and their requests just after. */
     private static final long ACCEPT_WHILE_STOPPING_MS = 600;
     private static final long DONE_CHECK_MS = 5;
@@ -80,6 +81,8 @@
     private boolean rehearsing;
     private boolean closed;
     private ScheduledFuture<?> wake;
+    /** Why the watch last failed, since the last list. */
+    private String watchFault;
 
     /** A call of the module that is due, and the request that it touches, if any. */
     private record Event(Held touches, Runnable call) { }
@@ -564,15 +567,20 @@
     @Override
     public void onList(ServerList list) {
         watchAgain.reset();
+        watchFault = null;
         takeList(list.all() ? ListKind.FULL : ListKind.CHANGES, list);
     }
 
     @Override
     public void onWatchFailed(String reason) {
-        LOG.log(Level.INFO, "the watch on the list failed: {0}", reason);
+        if (!reason.equals(watchFault)) {
+            // Once for each reason: while discovery is down it fails several times a second.
+            LOG.log(Level.INFO, "the watch on the list failed: {0}", reason);
+            watchFault = reason;
+        }
         enter(null, () -> balancer.onListFailed(nowUs()));
         if (!config.settings().listOnRequest) {
-            loop.schedule(discovery::subscribe, watchAgain.waitMs(), TimeUnit.MILLISECONDS);
+            discovery.subscribeIn(watchAgain.waitMs());
         }
     }
 
--- a/node/src/test/java/cedarrelay/node/DiscoveryTest.java
+++ b/node/src/test/java/cedarrelay/node/DiscoveryTest.java
@@ -8,9 +8,12 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 
+import com.google.gson.GsonBuilder;
+import com.google.gson.JsonParser;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -149,4 +152,82 @@
             assertEquals(null, failure);
         }
     }
+
+    @Test
+    void indentedListsInSinglePiecesAreTold() throws Exception {
+        String list = Fixture.list(42, true, "Ready", peer);
+        String indented = new GsonBuilder().setPrettyPrinting().create()
+                .toJson(JsonParser.parseString(list.replace("\"m\"", "\"m}\\\"{[\"")));
+        assertTrue(indented.lines().count() > 5, indented);
+        peer.script((socket, request) -> {
+            Fixture.beginWatch(socket);
+            for (char c : ("\r\n" + indented + "\n" + list + "\n").toCharArray()) {
+                FakePeer.write(socket, "1\r\n" + c + "\r\n");
+            }
+        });
+        subscribe(20_000);
+        assertEquals(ServerList.parse(list), FakePeer.soon(lists));
+        assertEquals(ServerList.parse(list), FakePeer.soon(lists));
+        assertTrue(failures.isEmpty());
+    }
+
+    @Test
+    void aHeadThatDoesNotComeIsNotWaitedForAsLongAsALine() throws Exception {
+        subscribe(600_000);
+        assertEquals("not answered", FakePeer.soon(failures));
+    }
+
+    @Test
+    void halfALineIsNotWaitedForAsLongAsAWholeOne() throws Exception {
+        peer.script((socket, request) -> {
+            Fixture.beginWatch(socket);
+            FakePeer.write(socket, "a\r\n{\"rev\":42,\r\n");
+        });
+        subscribe(600_000);
+        assertEquals("broken off in a message", FakePeer.soon(failures));
+        assertTrue(lists.isEmpty());
+    }
+
+    @Test
+    void bytesThatCompleteNoLineAreNoSignOfLife() throws Exception {
+        subscribe(500);
+        Socket watch = FakePeer.soon(peer.accepted);
+        peer.nextRequest();
+        Fixture.beginWatch(watch);
+        long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(FakePeer.PATIENCE_S);
+        String failure = null;
+        while (failure == null && System.nanoTime() < until) {
+            FakePeer.write(watch, "1\r\n{\r\n");
+            failure = failures.poll(20, TimeUnit.MILLISECONDS);
+        }
+        assertTrue(failure != null, "still waited for");
+    }
+
+    @Test
+    void twoSilentWatchesLeaveTimeForAThirdBeforeWhatTheyMissedBinds() {
+        // 6 s after the first fell silent; each may be followed by the longest wait there is.
+        assertTrue(2 * (Discovery.SILENT_MS + Node.WATCH_AGAIN_MOST_MS * 3 / 2) < 6_000);
+    }
+
+    @Test
+    void aMoveBetweenAFailureAndTheNextTryAsksAtOnceAndOnce() throws Exception {
+        peer.script(FakePeer.CLOSE);
+        Discovery discovery = subscribe(20_000);
+        FakePeer.soon(failures);
+        try (FakePeer moved = new FakePeer(FakePeer.SILENT)) {
+            EventLoop loop = group.next();
+            CountDownLatch after = new CountDownLatch(1);
+            loop.submit(() -> {
+                discovery.subscribeIn(100);
+                loop.schedule(after::countDown, 150, TimeUnit.MILLISECONDS);
+                discovery.move(new InetSocketAddress("127.0.0.1", moved.port()));
+            }).get();
+            assertTrue(moved.nextRequest().contains("after=41 "));
+            assertTrue(after.await(FakePeer.PATIENCE_S, TimeUnit.SECONDS));
+            loop.submit(() -> { }).get();
+            assertEquals(1, moved.accepted.size(), "the next try took the place of a good watch");
+            assertTrue(moved.ended.isEmpty());
+            assertEquals(1, peer.requests.size());
+        }
+    }
 }
