Keep zones that the settings don't name apart, so that a keyed repeat stays in its own

A node whose own zone is not named took the first named one for its own (BootInfo). The operators say that there may be more zones than the site names. Read in the code. Change: each name has an index of its own, 1,024 names at most; past that each server is a zone of its own.

--- a/node/src/main/java/cedarrelay/benchlink/BootInfo.java
+++ b/node/src/main/java/cedarrelay/benchlink/BootInfo.java
@@ -36,7 +36,12 @@
         for (String zone : list("zones")) {
             set.zones.add(zone);
         }
-        set.myZone = Math.max(0, set.zones.indexOf(values.getOrDefault("myZone", "")));
+        String myZone = values.getOrDefault("myZone", "");
+        if (!myZone.isEmpty() && !set.zones.isEmpty() && !set.zones.contains(myZone)) {
+            // Not named among the others: a zone of its own all the same.
+            set.zones.add(myZone);
+        }
+        set.myZone = Math.max(0, set.zones.indexOf(myZone));
         int classes = (int) whole("classes.count", 0);
         for (int i = 0; i < classes; i++) {
             set.classes.add(requestClass("classes." + i + "."));
--- a/node/src/main/java/cedarrelay/node/Node.java
+++ b/node/src/main/java/cedarrelay/node/Node.java
@@ -57,6 +57,8 @@
     /** Connections come for up to 0.4 s after the word to stop, and their requests just after. */
     private static final long ACCEPT_WHILE_STOPPING_MS = 600;
     private static final long DONE_CHECK_MS = 5;
+    /** Names of zones that are kept apart by their names; past that each server is a zone of its own. */
+    private static final int MOST_ZONES = 1_024;
     /** A rehearsal cut short is better than a node that stays away: a slow machine gets this far. */
     private static final long REHEARSE_MS = 2_500;
 
@@ -218,6 +220,10 @@
         this.config = config;
         this.loop = loop;
         config.settings().zones.forEach(z -> zones.put(z, zones.size()));
+        if (zones.isEmpty()) {
+            // This node's own, which has no name then.
+            zones.put("", config.settings().myZone);
+        }
         balancer = new ServiceQBalancer(config.settings(), config.seed(), this);
         figures = new Figures(config.settings().classes.stream().map(RequestClass::name).toList());
         sockets = new Sockets(config.sockets());
@@ -584,10 +590,19 @@
         }
     }
 
+    /** Zones that the settings don't name are other zones all the same: what drops repeats in one of them
+     * does not in the next. */
+    private int zone(ServerList.Target target) {
+        if (zones.size() >= MOST_ZONES && !zones.containsKey(target.zone())) {
+            return -1 - (target.id().hashCode() & Integer.MAX_VALUE);
+        }
+        return zones.computeIfAbsent(target.zone(), name -> zones.size());
+    }
+
     private void takeList(ListKind kind, ServerList list) {
         List<ServerEntry> entries = new ArrayList<>();
         for (ServerList.Target target : list.targets()) {
-            entries.add(new ServerEntry(target.id(), zones.getOrDefault(target.zone(), -1), target.cell(),
+            entries.add(new ServerEntry(target.id(), zone(target), target.cell(),
                     target.state(), target.weight(), 1_000 * target.bootMs()));
         }
         enter(null, () -> {
--- a/node/src/test/java/cedarrelay/node/NodeTest.java
+++ b/node/src/test/java/cedarrelay/node/NodeTest.java
@@ -21,6 +21,7 @@
 import java.util.logging.StreamHandler;
 
 import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
 import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
@@ -390,4 +391,20 @@
             socket.close();
         }
     }
+
+    @Test
+    void zonesThatTheSettingsDoNotNameAreNotOneZone() throws Exception {
+        first.script(FakePeer.RESET);
+        second.script(FakePeer.RESET);
+        JsonObject json = Fixture.config(discovery, first, second);
+        json.add("known", JsonParser.parseString(Fixture.list(41, true, "Ready", first, second)
+                .replaceFirst("\"az\":\"a\"", "\"az\":\"b\"").replaceFirst("\"az\":\"a\"", "\"az\":\"c\"")));
+        json.getAsJsonObject("settings").getAsJsonArray("classes").get(1).getAsJsonObject()
+                .addProperty("group", "zone");
+        client = connect(start(json));
+        int status = status(ask(Fixture.request("POST", "/photo", 1, "Idempotency-Key: k\r\n", "")));
+        assertTrue(status >= 500 && status != 503, "answered " + status);
+        assertEquals(200, status(ask("GET /ready HTTP/1.1\r\n\r\n")));
+        assertEquals(1, first.requests.size() + second.requests.size(), "repeated where nobody knows its key");
+    }
 }
