Repeat a keyed request only while its connection can still come up inside the window

Read in the code; the sites' windows are as long as their deadlines, so that only short windows or long diallings can show it. Change: the dialling limit is taken off the window. The test of the window had a dialling limit of 250 ms against a window of 400 ms and asked for a repeat 300 ms after the first attempt, which may be sent 150 ms too late; it now has a limit of 50 ms and asks for one repeat inside and none outside the rest. Measured: RulesTest; the new line sees a third attempt too many without the change.

--- a/node/src/main/java/cedarrelay/ServiceQBalancer.java
+++ b/node/src/main/java/cedarrelay/ServiceQBalancer.java
@@ -1115,7 +1115,7 @@
         int binding = call.binding();
         return binding < 0 || switch (call.cls.repeat()) {
             case SAFE -> true;
-            case KEYED -> now <= call.sentAt[binding] + call.cls.windowUs();
+            case KEYED -> now + set.connectTimeoutUs <= call.sentAt[binding] + call.cls.windowUs();
             case UNSAFE -> false;
         };
     }
--- a/node/src/test/java/cedarrelay/RulesTest.java
+++ b/node/src/test/java/cedarrelay/RulesTest.java
@@ -85,14 +85,16 @@
     }
 
     @Test
-    void theWindowCountsFromTheFirstAttemptThatMayHaveRun() {
-        Node node = new Node(Node.lateCounts(), 7).with(4);
+    void theWindowCountsFromTheFirstAttemptThatMayHaveRunAndHasRoomForTheRepeatsConnection() {
+        Settings settings = Node.lateCounts();
+        settings.connectTimeoutUs = 50_000;
+        Node node = new Node(settings, 7).with(4);
         long id = node.ask(Node.KEYED_ALL);
         node.answer(id, Result.CONNECT_FAILED, 300_000);
         node.answer(id, Result.ERROR, 300_000);
         assertEquals(3, node.attempts(id));
-        node.answer(id, Result.ERROR, 100_001);
-        assertEquals(3, node.attempts(id));
+        node.answer(id, Result.ERROR, 50_001);
+        assertEquals(3, node.attempts(id), "sent where its connection may come up after the window");
     }
 
     @Test
