Take attempts that wait for a connection away from a server that drains or has gone

Change: what waits there is reported as never sent, and the module passes it on elsewhere. Measured: ServerPoolTest.whatWaitsForAConnectionIsNotSentOnceItsServerDrains, for both states; it gets OK without the change.

--- a/node/src/main/java/cedarrelay/node/ServerPool.java
+++ b/node/src/main/java/cedarrelay/node/ServerPool.java
@@ -89,6 +89,7 @@
         long bootMs;
         boolean gone;
         /** Counts addresses and processes: a connection of an earlier one is not reused. */
+        boolean draining;
         int generation;
         int dialing;
         /** Most recently used first. */
@@ -190,6 +191,7 @@
             server.bootMs = target.bootMs();
             server.gone = target.state() == ServerState.GONE;
             if (moved || restarted) {
+            server.draining = target.state() == ServerState.DRAINING;
                 server.generation++;
                 server.dialing = 0;
                 closeIdle(server);
@@ -204,6 +206,7 @@
         }
         servers.values().stream().filter(s -> s.gone).forEach(ServerPool::closeIdle);
         servers.values().removeIf(s -> s.gone && s.waiting.isEmpty());
+        servers.values().stream().filter(s -> s.gone || s.draining).forEach(ServerPool::endWaiting);
     }
 
     /** Starts an attempt; it may be reported before this returns. */
@@ -322,6 +325,13 @@
         Collection<Connection> idle = new ArrayList<>(server.idle);
         server.idle.clear();
         idle.forEach(c -> c.channel.close());
+    /** What waits for its connection has not begun, and nothing new may begin there: it goes elsewhere. */
+    private static void endWaiting(Server server) {
+        for (Attempt next = server.waiting.poll(); next != null; next = server.waiting.poll()) {
+            next.end(Result.MOOT, null);
+        }
+    }
+
     }
 
     private boolean closeOldestIdle() {
--- a/node/src/test/java/cedarrelay/node/ServerPoolTest.java
+++ b/node/src/test/java/cedarrelay/node/ServerPoolTest.java
@@ -31,6 +31,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Every line of the protocol's table of outcomes, and the care of connections. */
 @Timeout(120)
@@ -95,9 +97,7 @@
     }
 
     private void list(ServerPool pool, String address, long bootMs) throws Exception {
-        ServerList list = ServerList.parse("{\"rev\":1,\"all\":true,"
-                + "\"targets\":[{\"uid\":\"s\",\"endpoint\":\"" + address
-                + "\",\"state\":\"Ready\",\"boot_ms\":" + bootMs + "}]}");
+        ServerList list = list(address, "Ready", bootMs);
         loop.submit(() -> pool.update(list)).get();
     }
 
@@ -380,3 +380,44 @@
         }
     }
 }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"Terminating", "Gone"})
+    void whatWaitsForAConnectionIsNotSentOnceItsServerDrains(String state) throws Exception {
+        ServerPool pool = pool(server.address(), IDLE_US);
+        Probe waits = new Probe(10);
+        // In one turn of the loop: the word comes while the connection is on its way up.
+        loop.submit(() -> {
+            pool.start("s", waits);
+            pool.update(list(server.address(), state, 0));
+        }).get();
+        assertEquals(Result.MOOT, waits.report().result());
+        list(pool, server.address(), 0);
+        Probe next = new Probe(11);
+        start(pool, next);
+        assertEquals(Result.OK, next.report().result());
+        assertEquals("11", FakePeer.header(server.nextRequest(), "Content-Length"));
+        assertTrue(server.requests.isEmpty(), "sent to a server that drains");
+    }
+
+    @Test
+    void aRestedConnectionGoesBeforeOneThatHasJustAnswered() throws Exception {
+        long restMs = 1_000;
+        BlockingQueue<Socket> used = new LinkedBlockingQueue<>();
+        server.script((socket, request) -> used.add(socket));
+        ServerPool pool = pool(server.address(), IDLE_US, restMs);
+        Probe first = new Probe(1);
+        Probe second = new Probe(2);
+        start(pool, first);
+        start(pool, second);
+        Socket rested = FakePeer.soon(used);
+        Socket fresh = FakePeer.soon(used);
+        FakePeer.write(rested, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        FakePeer.soon(either(first, second));
+        loop.schedule(() -> { }, 2 * restMs, TimeUnit.MILLISECONDS).get();
+        FakePeer.write(fresh, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        FakePeer.soon(either(first, second));
+        Probe third = new Probe(3);
+        start(pool, third);
+        assertSame(rested, FakePeer.soon(used));
+    }
