See a client leave wherever its request waits: read on behind one, look again before it is sent

Cause: three places. ClientConnection.updateReading turned reading off as soon as something waited behind a request, so that the end of the connection was not read and what waited was sent on for nobody. A request was sent on in the middle of the system's reports, before the end of its own connection, right behind it, was read: all that came while the node stood still, or waited to be accepted. And a long body whose window was full was read to its end and sent in one go. Change: what comes behind a request that waits is kept as bytes (Unread, bounded by the bodies' budget) and reading goes on; more than a window ends the connection with the answer that is due, and is read away. A client is read until nothing is left (16 reads), and the end of a request is taken in after that, when its connection, and idle ones of servers, may have been found ended; one that was not read for a while is read first. An answer that ends a connection with unread bytes behind it is written out before the close. node.abandoned counts requests whose client left before anything of them was sent. Watches in tests answer as the protocol has it (FakeDiscovery): the fakes that said nothing are asked again after a second now.

--- a/cli/src/main/java/tansypass/cli/MetricsPage.java
+++ b/cli/src/main/java/tansypass/cli/MetricsPage.java
@@ -42,6 +42,9 @@
         CounterWithCallback.builder().name("tansypass_attempts_total")
                 .help("Requests written whole to web servers.")
                 .callback(one -> one.call(figure("attempts"))).register(registry);
+        CounterWithCallback.builder().name("tansypass_abandoned_total")
+                .help("Requests whose client left before anything of them was sent on.")
+                .callback(one -> one.call(figure("abandoned"))).register(registry);
         CounterWithCallback.builder().name("tansypass_log_lines_dropped_total")
                 .help("Lines of the log that found its queue full.")
                 .callback(one -> one.call(Logs.dropped())).register(registry);
--- a/node/src/main/java/cedarrelay/node/ClientConnection.java
+++ b/node/src/main/java/cedarrelay/node/ClientConnection.java
@@ -54,6 +54,8 @@
     /** How long a new connection is left alone while clients are sent away. */
     private static final long FIRST_WITHIN_MS = 400;
     private static final String READY = "/ready";
+    /** How long a request whose client was not read for a while waits for a look whether that client is there. */
+    private static final long LOOK_MS = 1;
 
     /** Something read while an earlier request still waits for its answer. */
     private record Ahead(HttpObject message, long arrivedNs) { }
@@ -65,6 +67,10 @@
         Exchange exchange;
         /** Why it can't be taken, or null. */
         BadRequest fault;
+        /** Its last part has come, and is taken in once nothing says that its client has left. */
+        boolean complete;
+        /** Its client was not read for a while. */
+        boolean paused;
         long received;
         long paceBytes;
         long paceSince = System.nanoTime();
@@ -89,6 +95,10 @@
     private final ClientServer server;
     private final Channel channel;
     private final Deque<Ahead> ahead = new ArrayDeque<>();
+    private final Unread unread;
+    private ChannelHandlerContext decoder;
+    /** When what is being decoded was read. */
+    private long readNs;
     private Incoming incoming;
     private boolean headOnly;
     private Exchange held;
@@ -106,6 +116,7 @@
     ClientConnection(ClientServer server, Channel channel) {
         this.server = server;
         this.channel = channel;
+        unread = new Unread(server.budget());
     }
 
     /** Sets up its pipeline. */
@@ -119,7 +130,7 @@
     }
 
     boolean isIdle() {
-        return held == null && incoming == null && unwritten == 0 && ahead.isEmpty();
+        return held == null && incoming == null && unwritten == 0 && !isMoreRead();
     }
 
     boolean isOverdue(long now) {
@@ -136,9 +147,19 @@
                 || now - awaitedSince >= TimeUnit.MILLISECONDS.toNanos(FIRST_WITHIN_MS));
     }
 
+    /** Whether a request has come whole and waits for its answer. */
+    private boolean isBusy() {
+        return incoming == null ? held != null : incoming.complete;
+    }
+
+    /** Whether more than one request has been read. */
+    private boolean isMoreRead() {
+        return !ahead.isEmpty() || !unread.isEmpty();
+    }
+
     /** Whether what comes now has to wait for the answer to an earlier request. */
     private boolean isBehind() {
-        return !ahead.isEmpty() || held != null && incoming == null;
+        return isBusy() || isMoreRead();
     }
 
     private void await() {
@@ -157,9 +178,14 @@
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         server.closed(this);
+        forgetAhead();
+        drop();
+    }
+
+    private void forgetAhead() {
         ahead.forEach(a -> ReferenceCountUtil.release(a.message));
         ahead.clear();
-        drop();
+        unread.clear();
     }
 
     /** Whatever has come of a request goes no further. */
@@ -175,14 +201,12 @@
 
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
-        long now = System.nanoTime();
         if (ending || !(message instanceof HttpObject object)) {
             ReferenceCountUtil.release(message);
-        } else if (isBehind()) {
-            ahead.add(new Ahead(object, now));
-            updateReading();
+        } else if (isBusy() || !ahead.isEmpty()) {
+            ahead.add(new Ahead(object, readNs));
         } else {
-            read(object, now);
+            read(object, readNs);
         }
     }
 
@@ -195,11 +219,10 @@
             if (message instanceof HttpRequest head) {
                 begin(head);
             }
-            if (message instanceof HttpContent content && incoming != null) {
+            if (message instanceof LastHttpContent last && incoming != null) {
+                lastPart(last.content().retain(), now);
+            } else if (message instanceof HttpContent content && incoming != null) {
                 body(content.content());
-                if (incoming != null && message instanceof LastHttpContent) {
-                    whole(now);
-                }
             }
         } finally {
             ReferenceCountUtil.release(message);
@@ -261,11 +284,45 @@
         updateReading();
     }
 
-    /** Reads on unless something has to be done with what has come first. */
+    /** Reads on unless a body's window is full: only who reads sees that a client leaves. */
     void updateReading() {
-        boolean full = incoming != null && incoming.exchange != null
+        boolean full = incoming != null && !incoming.complete && incoming.exchange != null
                 && incoming.exchange.request().body().isFull();
-        channel.config().setAutoRead(ahead.isEmpty() && !full);
+        if (full) {
+            incoming.paused = true;
+        }
+        channel.config().setAutoRead(!full);
+    }
+
+    /**
+     * The end of a request is taken in only once all else that the system has of this connection has been looked
+     * at: it may have come long ago, with the end of the connection right behind it, and so may the end of a
+     * server's idle connection. A client that was not read for a while is read first.
+     */
+    private void lastPart(ByteBuf part, long now) {
+        Incoming done = incoming;
+        done.complete = true;
+        updateReading();
+        if (done.paused) {
+            channel.eventLoop().schedule(() -> whole(done, part, now), LOOK_MS, TimeUnit.MILLISECONDS);
+        } else {
+            channel.eventLoop().execute(() -> whole(done, part, now));
+        }
+    }
+
+    private void whole(Incoming done, ByteBuf part, long now) {
+        try {
+            if (incoming == done && channel.isActive()) {
+                body(part);
+                if (incoming == done) {
+                    whole(now);
+                }
+            } else if (!channel.isActive()) {
+                server.abandoned();
+            }
+        } finally {
+            part.release();
+        }
     }
 
     private void whole(long now) {
@@ -344,7 +401,7 @@
 
     private boolean isKept(boolean keepAlive) {
         return keepAlive && !ending && incoming == null
-                && (!server.lifecycle().isLeaving() || !ahead.isEmpty());
+                && (!server.lifecycle().isLeaving() || isMoreRead());
     }
 
     /** Writes the head of a long answer; its parts follow, and then its end. */
@@ -392,7 +449,7 @@
     }
 
     private ChannelFuture ended(ChannelFuture writing, boolean keep) {
-        boolean cut = incoming != null;
+        boolean cut = incoming != null || ending || isMoreRead();
         held = null;
         incoming = null;
         awaitedSince = System.nanoTime();
@@ -402,7 +459,7 @@
             ending = true;
             return cut ? linger(writing) : writing.addListener(ChannelFutureListener.CLOSE);
         }
-        if (!ahead.isEmpty()) {
+        if (isMoreRead()) {
             // Later, not from here: a long line of requests that can't be taken would go as deep.
             channel.eventLoop().execute(this::takeAhead);
         }
@@ -410,11 +467,25 @@
     }
 
     private void takeAhead() {
-        while (!ahead.isEmpty() && !ending && (held == null || incoming != null)) {
-            Ahead next = ahead.poll();
-            read(next.message, next.arrivedNs);
+        while (isMoreRead() && !ending && !isBusy()) {
+            if (ahead.isEmpty()) {
+                readNs = unread.arrivedNs();
+                decoder.fireChannelRead(unread.poll());
+            } else {
+                Ahead next = ahead.poll();
+                read(next.message, next.arrivedNs);
+            }
+        }
+    }
+
+    /** It sends more requests ahead than may be held: it is told no more than the answer that is due. */
+    private void overrun() {
+        forgetAhead();
+        if (isBusy()) {
+            ending = true;
+        } else {
+            close();
         }
-        updateReading();
     }
 
     private static <T extends HttpResponse> T closing(T response) {
@@ -438,13 +509,29 @@
         }
     }
 
-    /** Sees bytes before the codec does, which tells of a request only once its head is whole. */
+    /** Sees bytes before the codec does, which tells of a request only once its head is whole. What comes behind
+     * a request that waits is kept as it is, so that reading can go on. */
     private final class ByteWatch extends ChannelInboundHandlerAdapter {
+        @Override
+        public void handlerAdded(ChannelHandlerContext ctx) {
+            decoder = ctx;
+        }
+
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object message) {
             await();
             begun = true;
-            ctx.fireChannelRead(message);
+            if (ending) {
+                ReferenceCountUtil.release(message);
+            } else if (isBehind()) {
+                unread.add((ByteBuf) message, System.nanoTime());
+                if (unread.isTooMuch()) {
+                    overrun();
+                }
+            } else {
+                readNs = System.nanoTime();
+                ctx.fireChannelRead(message);
+            }
         }
     }
 }
--- a/node/src/main/java/cedarrelay/node/ClientServer.java
+++ b/node/src/main/java/cedarrelay/node/ClientServer.java
@@ -29,6 +29,8 @@
     /** Of a long body, this much may wait for a slow receiver; its sender is read on from the lower mark. */
     static final WriteBufferWaterMark WATER_MARK = new WriteBufferWaterMark(16 * 1024, 64 * 1024);
     private static final int BACKLOG = 1_024;
+    /** How often one client is read in a row. */
+    private static final int READS = 16;
     private static final long ACCEPT_AGAIN_MS = 50;
     private static final long SWEEP_MS = 100;
     /** How long the front goes on sending after it has been told no, with some room: up to 0.1 s until it
@@ -83,8 +85,11 @@
         return new ServerBootstrap().group(group).channelFactory(() -> fresh)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                // Read until nothing is left, not until a buffer is not full: so the end of a connection is seen
+                // in the same turn as what came before it.
                 .childOption(ChannelOption.RECVBUF_ALLOCATOR,
-                        new AdaptiveRecvByteBufAllocator(256, 2_048, ServerPool.MAX_READ))
+                        new AdaptiveRecvByteBufAllocator(256, 2_048, ServerPool.MAX_READ)
+                                .respectMaybeMoreData(false).maxMessagesPerRead(READS))
                 .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WATER_MARK)
                 .handler(new AcceptGuard())
                 .childHandler(new ChannelInitializer<SocketChannel>() {
@@ -124,6 +129,16 @@
         return lifecycle;
     }
 
+    /** What all connections together hold of what was read. */
+    BodyBudget budget() {
+        return budget;
+    }
+
+    /** A client has left before its request went anywhere. */
+    void abandoned() {
+        figures.abandoned();
+    }
+
     /** Whether it belongs to the rehearsal. */
     boolean isRehearsed(HttpRequest http) {
         return rehearsal != null && rehearsal.equals(http.headers().get(Rehearsal.HEADER));
--- a/node/src/main/java/cedarrelay/node/Figures.java
+++ b/node/src/main/java/cedarrelay/node/Figures.java
@@ -28,6 +28,7 @@
     private final AtomicLongArray ended;
     private final AtomicLong attempts = new AtomicLong();
     private final AtomicLong inFlight = new AtomicLong();
+    private final AtomicLong abandoned = new AtomicLong();
     private volatile int known;
     private volatile int excluded;
 
@@ -56,6 +57,11 @@
         attempts.getAndIncrement();
     }
 
+    /** The client of a request has left before anything of that was sent on. */
+    void abandoned() {
+        abandoned.getAndIncrement();
+    }
+
     /** How many servers the list holds, and how many of them are avoided. */
     void servers(int listed, int avoided) {
         known = listed;
@@ -73,6 +79,7 @@
         }
         line(text, "attempts", attempts.get());
         line(text, "in_flight", inFlight.get());
+        line(text, "abandoned", abandoned.get());
         line(text, "web_servers_known", known);
         line(text, "web_servers_excluded", excluded);
         return text.toString();
--- a/node/src/main/java/cedarrelay/node/Node.java
+++ b/node/src/main/java/cedarrelay/node/Node.java
@@ -428,6 +428,9 @@
     }
 
     private void leave(Held left) {
+        if (left.sent.stream().noneMatch(s -> s.attempt != null && s.attempt.isOut())) {
+            figures.abandoned();
+        }
         left.end();
         enter(left, () -> balancer.onClientGone(nowUs(), left.id));
     }
--- a/node/src/test/java/cedarrelay/node/AdminServerTest.java
+++ b/node/src/test/java/cedarrelay/node/AdminServerTest.java
@@ -138,6 +138,7 @@
         figures.left();
         figures.left();
         figures.attempted();
+        figures.abandoned();
         figures.servers(12, 3);
         String answer = call("GET /_vars HTTP/1.1\r\n\r\n");
         assertEquals("""
@@ -149,6 +150,7 @@
                 node.requests.order.failed=0
                 node.attempts=1
                 node.in_flight=1
+                node.abandoned=1
                 node.web_servers_known=12
                 node.web_servers_excluded=3
                 """, answer.substring(answer.indexOf("\r\n\r\n") + 4));
--- a/node/src/test/java/cedarrelay/node/NodeTest.java
+++ b/node/src/test/java/cedarrelay/node/NodeTest.java
@@ -211,15 +211,15 @@
 
     @Test
     void aServerThatDrainsGetsNothingNew() throws Exception {
+        FakeDiscovery told = new FakeDiscovery();
+        discovery = told.peer;
         start(first, second);
         String call = discovery.nextRequest();
         assertTrue(call.startsWith("GET /v1/endpoints?watch=1&after=41 "), call);
-        Socket watch = FakePeer.soon(discovery.accepted);
         assertEquals(200, status(ask(Fixture.request("GET", "/view", 0, "", ""))));
-        Fixture.beginWatch(watch);
-        Fixture.line(watch, Fixture.list(42, false, "Terminating", first));
+        told.tell(Fixture.list(42, false, "Terminating", first));
         // Its idle connections go back as soon as it has gone: the sign that the node has read the line.
-        Fixture.line(watch, Fixture.list(43, false, "Ready", second));
+        told.tell(Fixture.list(43, false, "Ready", second));
         long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(FakePeer.PATIENCE_S);
         int quiet = 0;
         for (int i = 1; quiet < 20; i++) {
@@ -229,8 +229,9 @@
             assertTrue(System.nanoTime() < until, "the draining server is still sent to");
         }
         // Broken, the watch is asked for again with the version that was told last.
-        watch.close();
+        told.breakWatches();
         assertTrue(discovery.nextRequest().contains("after=43 "));
+        told.close();
     }
 
     @Test
--- a/node/src/test/java/cedarrelay/node/OperationTest.java
+++ b/node/src/test/java/cedarrelay/node/OperationTest.java
@@ -156,7 +156,9 @@
 
     @Test
     void serversThatFailOrDrainAreShownAsAvoided() throws Exception {
-        try (FakePeer bad = new FakePeer(FakePeer.RESET); FakePeer third = new FakePeer(SERVED)) {
+        try (FakePeer bad = new FakePeer(FakePeer.RESET); FakePeer third = new FakePeer(SERVED);
+                FakeDiscovery told = new FakeDiscovery()) {
+            discovery = told.peer;
             start(server, bad, third);
             assertEquals(3, figures().get("node.web_servers_known"));
             assertEquals(0, figures().get("node.web_servers_excluded"));
@@ -166,13 +168,10 @@
                 }
             }
             await("node.web_servers_excluded", 1);
-            discovery.nextRequest();
-            Socket watch = FakePeer.soon(discovery.accepted);
-            Fixture.beginWatch(watch);
-            Fixture.line(watch, Fixture.list(42, false, "Terminating", third));
+            told.tell(Fixture.list(42, false, "Terminating", third));
             await("node.web_servers_excluded", 2);
             assertEquals(3, figures().get("node.web_servers_known"));
-            Fixture.line(watch, Fixture.list(43, false, "Gone", third, bad));
+            told.tell(Fixture.list(43, false, "Gone", third, bad));
             await("node.web_servers_known", 1);
             await("node.web_servers_excluded", 0);
         }
--- /dev/null
+++ b/node/src/test/java/cedarrelay/node/RunningNode.java
@@ -0,0 +1,89 @@
+package cedarrelay.node;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+
+import com.google.gson.JsonObject;
+import io.netty.channel.Channel;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+
+/** A node in the test's process, whose one thread the test can hold, and its clients. */
+final class RunningNode implements Closeable {
+    final EventLoop loop;
+    final Node node;
+    final int port;
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final List<Socket> clients = new ArrayList<>();
+
+    RunningNode(JsonObject json) throws Exception {
+        loop = group.next();
+        Config config = Config.read(Map.of("LB_CONFIG", Fixture.write(json).toString()));
+        node = loop.submit(() -> new Node(config, loop)).get();
+        Channel channel = loop.submit(() -> node.start(group, 8)).get().sync().getNow();
+        port = ((InetSocketAddress) channel.localAddress()).getPort();
+    }
+
+    Socket connect() throws Exception {
+        Socket socket = new Socket("127.0.0.1", port);
+        socket.setSoTimeout((int) TimeUnit.SECONDS.toMillis(FakePeer.PATIENCE_S));
+        clients.add(socket);
+        return socket;
+    }
+
+    /** Holds its thread until the latch opens. */
+    CountDownLatch hold() throws Exception {
+        CountDownLatch held = new CountDownLatch(1);
+        CountDownLatch goOn = new CountDownLatch(1);
+        loop.execute(() -> {
+            held.countDown();
+            try {
+                goOn.await(FakePeer.PATIENCE_S, TimeUnit.SECONDS);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        held.await();
+        return goOn;
+    }
+
+    long figure(String name) {
+        Map<String, Long> all = node.figures().text().lines().map(l -> l.split("="))
+                .collect(Collectors.toMap(l -> l[0], l -> Long.valueOf(l[1])));
+        return all.get("node." + name);
+    }
+
+    /** Waits until a figure is so. */
+    void await(String name, long value) {
+        long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(FakePeer.PATIENCE_S);
+        while (figure(name) != value) {
+            if (System.nanoTime() > until) {
+                throw new AssertionError(name + " is " + figure(name) + ", not " + value);
+            }
+            Thread.onSpinWait();
+        }
+    }
+
+    @Override
+    public void close() {
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+        for (Socket client : clients) {
+            try {
+                client.close();
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        }
+    }
+}
