End an answer that only trickles, or has no end, soon after its time

Cause: Node.cutShort waited on while anything had come in the last 250 ms, and never ended an answer that is long by its head: one that trickles passed the half second after which its request is lost, and had no end at all. Change: past its time an answer goes on only at a pace of 16 kB/s (a quarter of the slowest client's), looked at over 250 ms, or over 2.5 s for one that is long; while the client takes no more, that is no fault of the server. Past 40 MiB it is ended.

--- a/node/src/main/java/cedarrelay/node/ClientConnection.java
+++ b/node/src/main/java/cedarrelay/node/ClientConnection.java
@@ -38,7 +38,7 @@
 final class ClientConnection extends ChannelInboundHandlerAdapter {
     private static final Logger LOG = System.getLogger(ClientConnection.class.getName());
     /** Bodies reach 32 MB; one well past that is no client's. */
-    private static final long MAX_BODY = 40L << 20;
+    static final long MAX_BODY = 40L << 20;
     /** Of a body that goes nowhere, so much is read for the sake of its connection. */
     private static final int MAX_SKIPPED = 64 * 1024;
     private static final int MAX_LINE = 8_192;
@@ -49,7 +49,7 @@
      * a peer that sends none has to be told so within 3 s. A body may take longer if it keeps coming ... */
     private static final long REQUEST_WITHIN_MS = 2_600;
     /** ... at a quarter of the slowest client's pace or more, looked at over at least so long. */
-    private static final long LEAST_BYTES_PER_S = 16 * 1024;
+    static final long LEAST_BYTES_PER_S = 16 * 1024;
     private static final long PACE_OVER_MS = 700;
     /** How long a new connection is left alone while clients are sent away. */
     private static final long FIRST_WITHIN_MS = 400;
--- a/node/src/main/java/cedarrelay/node/Exchange.java
+++ b/node/src/main/java/cedarrelay/node/Exchange.java
@@ -1,5 +1,7 @@
 package cedarrelay.node;
 
+import java.util.concurrent.TimeUnit;
+
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelFuture;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -28,6 +30,9 @@
     /** Of an answer that flows: its length, or as much as is known of it. */
     private long flowLength;
     private long flowedNs;
+    private long flowed;
+    private long paceFrom;
+    private long paceSinceNs;
 
     Exchange(ClientConnection connection, Figures figures, ClientRequest request, HttpRequest head) {
         this.connection = connection;
@@ -112,6 +117,21 @@
         return System.nanoTime() - flowedNs;
     }
 
+    /** From now on its pace is looked at. */
+    void watchPace() {
+        paceFrom = flowed;
+        paceSinceNs = System.nanoTime();
+    }
+
+    /** Whether it has come slower than any client takes it since this was last asked, or is longer than any. */
+    boolean isSlow() {
+        long overNs = System.nanoTime() - paceSinceNs;
+        boolean slow = connection.isWritable() && TimeUnit.SECONDS.toNanos(flowed - paceFrom)
+                < ClientConnection.LEAST_BYTES_PER_S * overNs;
+        watchPace();
+        return slow || flowed > ClientConnection.MAX_BODY;
+    }
+
     /** A long answer will not come whole: its client has to see that. */
     void cutOff() {
         figures.ended(request.classIndex(), Figures.End.FAILED);
@@ -176,13 +196,11 @@
 
     /** A long answer on its way to the client. */
     private final class Flow implements AnswerSink {
-        private long passed;
-
         @Override
         public void write(ByteBuf part) {
             flowedNs = System.nanoTime();
-            passed += part.readableBytes();
-            flowLength = Math.max(flowLength, passed);
+            flowed += part.readableBytes();
+            flowLength = Math.max(flowLength, flowed);
             connection.pass(part);
         }
 
--- a/node/src/main/java/cedarrelay/node/Node.java
+++ b/node/src/main/java/cedarrelay/node/Node.java
@@ -50,6 +50,8 @@
     private static final long PROBE_US = 250_000;
     /** An answer that is out of time is still coming if some of it came within this. */
     private static final long SILENT_MS = 250;
+    /** Over how long the pace of a long answer is looked at: as long as a server may pause in it. */
+    private static final long PACE_OVER_MS = ServerPool.STALL_MS;
     /** Until a watch that broke is asked for again, the first time and at most. The agent is on this machine,
      * and what it gets binds at once, watch or not: a gap has to be short against the shortest grace. */
     private static final long WATCH_AGAIN_MS = 50;
@@ -98,6 +100,8 @@
         private ScheduledFuture<?> guard;
         private int out;
         private boolean over;
+        /** Its answer goes on after its time. */
+        private boolean pastTime;
 
         Held(Exchange exchange) {
             this.exchange = exchange;
@@ -445,19 +449,26 @@
     }
 
     /**
-     * An answer has begun and not ended in time. It may go on if it is a long one, and while it may become
-     * one, which it can't in silence.
+     * An answer has begun and not ended in time. It may go on while it is a long one, or may become one, and
+     * keeps the pace of one: one that trickles would have no end.
      */
     private void cutShort(Held late) {
-        if (late.over || late.exchange.isLong()) {
+        if (late.over) {
             return;
         }
-        long silentMs = TimeUnit.NANOSECONDS.toMillis(late.exchange.silentNs());
-        if (silentMs < SILENT_MS) {
-            late.guard = loop.schedule(() -> cutShort(late), SILENT_MS - silentMs, TimeUnit.MILLISECONDS);
+        Exchange exchange = late.exchange;
+        boolean cut = late.pastTime ? exchange.isSlow() : !exchange.isLong()
+                && exchange.silentNs() >= TimeUnit.MILLISECONDS.toNanos(SILENT_MS);
+        if (!cut) {
+            if (!late.pastTime) {
+                late.pastTime = true;
+                exchange.watchPace();
+            }
+            late.guard = loop.schedule(() -> cutShort(late), exchange.isLong() ? PACE_OVER_MS : SILENT_MS,
+                    TimeUnit.MILLISECONDS);
             return;
         }
-        late.exchange.cutOff();
+        exchange.cutOff();
         late.end();
         enter(late, () -> balancer.onClientGone(nowUs(), late.id));
     }
--- a/node/src/main/java/cedarrelay/node/ServerPool.java
+++ b/node/src/main/java/cedarrelay/node/ServerPool.java
@@ -50,7 +50,7 @@
     private static final long HOLD_MS = 50;
     /** A server that gives nothing of a long answer, or takes nothing of a request, for so long will not go
      * on: whole seconds are no pause of one that lives. */
-    private static final long STALL_MS = 2_500;
+    static final long STALL_MS = 2_500;
     /** The same while it is the client who takes nothing. */
     private static final long CLIENT_STALL_MS = 10_000;
     /** Read at once from a server, so that little is on its way when a client can't take it. */
