Answer all that is held before a stopping process may be killed, and leave no connection behind

Cause: Main halted 3.65 s after SIGTERM whatever was held: with deadlines of over 3 s, what it had taken was lost, and with short ones SIGKILL comes sooner (longest deadline and 0.7 s). A connection accepted last before the listener closed (0.6 s) was left open for 0.4 s more; a request on it came later than 0.7 s and could find no answer. Read in the code, confirmed by tests. Change: Node.stopWithinMs follows the settings; what no server has begun to answer by then is answered as failed, and answers that have begun go on for up to 5 s more. Connections on which nothing has come end 60 ms after the listener. Ruled out, by the order of tasks on the one loop: a listener still binding when stopAccepting runs; a second SIGTERM (the virtual machine takes one); SIGTERM in the rehearsal opens no listener any more (Node.open looks).

--- a/node/src/main/java/cedarrelay/node/ClientConnection.java
+++ b/node/src/main/java/cedarrelay/node/ClientConnection.java
@@ -141,9 +141,14 @@
         return incoming == null || incoming.isSlow(now, channel.config().isAutoRead());
     }
 
+    /** Whether nothing of a request has come. */
+    boolean isUnused() {
+        return isIdle() && !begun;
+    }
+
     /** Whether it can be closed with no request lost, unless one is on its way this moment. */
     boolean isSpare(long now) {
-        return isIdle() && !begun && (!awaited
+        return isUnused() && (!awaited
                 || now - awaitedSince >= TimeUnit.MILLISECONDS.toNanos(FIRST_WITHIN_MS));
     }
 
--- a/node/src/main/java/cedarrelay/node/ClientServer.java
+++ b/node/src/main/java/cedarrelay/node/ClientServer.java
@@ -36,6 +36,9 @@
     /** How long the front goes on sending after it has been told no, with some room: up to 0.1 s until it
      * asks, and 0.2 s more. What stands idle then is closed, so that its client goes elsewhere. */
     private static final long FRONT_LEAVES_MS = 400;
+    /** The last connections' first requests come within this: what came 0.7 s after the word to stop and finds
+     * no answer is lost. */
+    private static final long FIRST_REQUEST_MS = 60;
 
     private final EventLoop loop;
     private final Sockets sockets;
@@ -51,6 +54,8 @@
     private String rehearsal;
     /** When clients began to be sent away, by {@link System#nanoTime}; 0 if they are not. */
     private long leavingSince;
+    /** No further first request is waited for. */
+    private boolean last;
 
     ClientServer(EventLoop loop, Sockets sockets, ClientRequest.Reader reader, Lifecycle lifecycle,
             Figures figures, Consumer<Exchange> taker) {
@@ -167,6 +172,10 @@
             whenDone.run();
         } else {
             listening.closeEmptied(whenDone);
+            loop.schedule(() -> {
+                last = true;
+                sweep();
+            }, FIRST_REQUEST_MS, TimeUnit.MILLISECONDS);
         }
     }
 
@@ -187,7 +196,7 @@
         for (ClientConnection connection : new ArrayList<>(connections)) {
             if (connection.isOverdue(now)) {
                 connection.reject(new BadRequest(HttpResponseStatus.REQUEST_TIMEOUT, "no whole request"));
-            } else if (empty && connection.isSpare(now)) {
+            } else if (empty && (last ? connection.isUnused() : connection.isSpare(now))) {
                 connection.close();
             }
         }
--- a/node/src/main/java/cedarrelay/node/Main.java
+++ b/node/src/main/java/cedarrelay/node/Main.java
@@ -17,8 +17,8 @@
 public final class Main {
     /** A bad configuration. */
     private static final int BAD_CONFIG = 2;
-    /** Past the longest wait for an answer: then there is nothing left worth waiting for. */
-    private static final long STOP_WITHIN_MS = 3_650;
+    /** How long answers that have begun may still take then, if nobody kills it before. */
+    private static final long STOP_LONGER_MS = 5_000;
 
     /** Past that an operator's call has been given up. */
     private static final long CALL_WITHIN_MS = 3_000;
@@ -192,7 +192,7 @@
         CountDownLatch done = new CountDownLatch(1);
         loop.execute(() -> node.stop(done::countDown));
         try {
-            done.await(STOP_WITHIN_MS, TimeUnit.MILLISECONDS);
+            done.await(node.stopWithinMs() + STOP_LONGER_MS, TimeUnit.MILLISECONDS);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
--- a/node/src/main/java/cedarrelay/node/Node.java
+++ b/node/src/main/java/cedarrelay/node/Node.java
@@ -59,6 +59,10 @@
     /** Connections come for up to 0.4 s after the word to stop, and their requests just after. */
     private static final long ACCEPT_WHILE_STOPPING_MS = 600;
     private static final long DONE_CHECK_MS = 5;
+    /** SIGKILL follows SIGTERM after the longest deadline, counted as so much at most, and this. */
+    private static final long KILL_COUNTS_MS = 3_000;
+    private static final long KILL_AFTER_MS = 700;
+    private static final long STOP_ROOM_MS = 50;
     /** Names of zones that are kept apart by their names; past that each server is a zone of its own. */
     private static final int MOST_ZONES = 1_024;
     /** A rehearsal cut short is better than a node that stays away: a slow machine gets this far. */
@@ -333,11 +337,30 @@
         loop.execute(() -> enter(null, () -> balancer.onFleet(nowUs(), present, lost)));
     }
 
-    /** Stops taking requests after a while and runs {@code done} as soon as all are answered. */
+    /**
+     * Stops taking requests after a while and runs {@code done} as soon as all are answered. What no server has
+     * begun to answer by {@link #stopWithinMs} is answered as failed: then the process may be killed.
+     */
     void stop(Runnable done) {
         lifecycle.stop();
         loop.schedule(() -> clients.stopAccepting(() -> runWhenDone(done)), ACCEPT_WHILE_STOPPING_MS,
                 TimeUnit.MILLISECONDS);
+        loop.schedule(this::failUnanswered, stopWithinMs(), TimeUnit.MILLISECONDS);
+    }
+
+    /** How long a node that was told to stop has, by the platform's word, less some room to answer in. */
+    long stopWithinMs() {
+        long longestUs = config.settings().classes.stream().mapToLong(RequestClass::deadlineUs).max().orElse(0);
+        return Math.min(KILL_COUNTS_MS, longestUs / 1_000) + KILL_AFTER_MS - STOP_ROOM_MS;
+    }
+
+    private void failUnanswered() {
+        for (Held left : List.copyOf(held.values())) {
+            if (!left.over && !left.exchange.isAnswered()) {
+                fail(left, HttpResponseStatus.GATEWAY_TIMEOUT, "stopping");
+                enter(left, () -> balancer.onClientGone(nowUs(), left.id));
+            }
+        }
     }
 
     private void runWhenDone(Runnable done) {
