Reject a configuration with a value of the wrong form by one line, at the start and at SIGHUP

Cause: Config let what Gson throws for a value of another form (UnsupportedOperationException, IllegalStateException) pass: a stack trace instead of a line at the start, and at SIGHUP nothing said whether the old configuration stays. Read in the code. Change: such a value is a bad configuration like any other. Measured: MainTest.aBadConfigurationEndsItWithOneClearLine has the case; without the change its trace has many lines.

--- a/node/src/main/java/cedarrelay/node/Config.java
+++ b/node/src/main/java/cedarrelay/node/Config.java
@@ -61,6 +61,14 @@
         } catch (JsonParseException | IllegalStateException e) {
             throw new IllegalArgumentException("LB_CONFIG holds no JSON object: " + e.getMessage(), e);
         }
+        try {
+            return of(json, environment);
+        } catch (UnsupportedOperationException | IllegalStateException e) {
+            throw new IllegalArgumentException("LB_CONFIG has a value of the wrong form: " + e.getMessage(), e);
+        }
+    }
+
+    private static Config of(JsonObject json, Map<String, String> environment) {
         Map<String, String> values = flatten(object(json, "settings"));
         Settings settings = BootInfo.read(values);
         ServerList known = json.has("known") ? ServerList.of(json.get("known"))
--- a/node/src/test/java/cedarrelay/node/MainTest.java
+++ b/node/src/test/java/cedarrelay/node/MainTest.java
@@ -206,6 +206,9 @@
         JsonObject noPort = Fixture.config(discovery, server);
         noPort.addProperty("admin", "127.0.0.1");
         rejected(Fixture.write(noPort).toString(), "address and port");
+        JsonObject wrongForm = Fixture.config(discovery, server);
+        wrongForm.getAsJsonObject("settings").getAsJsonArray("zones").add(new JsonObject());
+        rejected(Fixture.write(wrongForm).toString(), "wrong form");
         Files.delete(broken);
     }
 
