Take a refusal or an error by its head where the rest does not come

Cause: an answer other than 200 was waited for to its last byte, up to the attempt's end; a 503 that says that nothing ran became a time-out, after which an unsafe request may not be sent again. Found when reading for answers that never end.

--- a/node/src/main/java/cedarrelay/node/IncomingAnswer.java
+++ b/node/src/main/java/cedarrelay/node/IncomingAnswer.java
@@ -112,6 +112,11 @@
         return head != null && isServed() && sink == null && !HttpUtil.isContentLengthSet(head);
     }
 
+    /** Whether its head tells all that counts of it, and it is no answer to pass on. */
+    boolean isNo() {
+        return head != null && !isServed() && head.status().codeClass() != HttpStatusClass.INFORMATIONAL;
+    }
+
     boolean isServed() {
         return head != null && head.status().code() == 200;
     }
