--- a/node/src/test/java/cedarrelay/node/Fixture.java
+++ b/node/src/test/java/cedarrelay/node/Fixture.java
@@ -3,10 +3,14 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.net.StandardSocketOptions;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParser;
@@ -48,6 +52,23 @@
         return socket;
     }
 
+    /** Fills the queue of connections that nobody accepts: Linux drops what comes then. The caller closes them. */
+    static List<Socket> fill(ServerSocket narrow) throws IOException {
+        List<Socket> full = new ArrayList<>();
+        try {
+            while (full.size() < 20) {
+                Socket next = new Socket();
+                full.add(next);
+                next.connect(narrow.getLocalSocketAddress(), 100);
+            }
+        } catch (SocketTimeoutException e) {
+            if (full.size() < 2) {
+                throw new IOException("full from the start", e);
+            }
+        }
+        return full;
+    }
+
     static Path write(JsonObject json) throws IOException {
         Path file = Files.createTempFile("node", ".json");
         file.toFile().deleteOnExit();
--- a/node/src/test/java/cedarrelay/node/LeavingClientTest.java
+++ b/node/src/test/java/cedarrelay/node/LeavingClientTest.java
@@ -9,7 +9,6 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
-import java.net.SocketTimeoutException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
@@ -163,15 +162,7 @@
         server.script(FakePeer.RESET);
         List<Socket> full = new ArrayList<>();
         try (ServerSocket narrow = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            try {
-                while (full.size() < 20) {
-                    Socket next = new Socket();
-                    full.add(next);
-                    next.connect(narrow.getLocalSocketAddress(), 100);
-                }
-            } catch (SocketTimeoutException e) {
-                assertTrue(full.size() > 1, "full from the start");
-            }
+            full.addAll(Fixture.fill(narrow));
             String both = Fixture.list(41, true, "Ready", server, server)
                     .replaceFirst("s-" + server.port(), "s-1")
                     .replaceFirst(server.address(), "127.0.0.1:" + narrow.getLocalPort());
--- a/node/src/test/java/cedarrelay/node/ServerPoolTest.java
+++ b/node/src/test/java/cedarrelay/node/ServerPoolTest.java
@@ -8,7 +8,6 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
-import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -305,15 +304,7 @@
             Socket used = narrow.accept();
             FakePeer.read(used);
             // From here on nobody gets in: connections wait until there is no room for that either.
-            try {
-                while (full.size() < 20) {
-                    Socket next = new Socket();
-                    full.add(next);
-                    next.connect(narrow.getLocalSocketAddress(), 100);
-                }
-            } catch (SocketTimeoutException e) {
-                assertTrue(full.size() > 1, "full from the start");
-            }
+            full.addAll(Fixture.fill(narrow));
             FakePeer.write(used, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
             assertEquals(Result.OK, first.report().result());
             Probe second = new Probe(10);
