--- a/node/src/main/java/cedarrelay/node/ClientConnection.java
+++ b/node/src/main/java/cedarrelay/node/ClientConnection.java
@@ -54,7 +54,7 @@
     /** How long a new connection is left alone while clients are sent away. */
     private static final long FIRST_WITHIN_MS = 400;
     private static final String READY = "/ready";
-    /** How long a request whose client was not read for a while waits for a look whether that client is there. */
+    /** How long a request whose client was not read for a while waits for a look whether that is there. */
     private static final long LOOK_MS = 1;
 
     /** Something read while an earlier request still waits for its answer. */
@@ -300,8 +300,8 @@
     }
 
     /**
-     * The end of a request is taken in only once all else that the system has of this connection has been looked
-     * at: it may have come long ago, with the end of the connection right behind it, and so may the end of a
+     * The end of a request is taken in only once all else that the system has of this connection has been
+     * looked at: it may have come long ago, with the end of the connection right behind it, and so may the end of a
      * server's idle connection. A client that was not read for a while is read first.
      */
     private void lastPart(ByteBuf part, long now) {
@@ -514,8 +514,8 @@
         }
     }
 
-    /** Sees bytes before the codec does, which tells of a request only once its head is whole. What comes behind
-     * a request that waits is kept as it is, so that reading can go on. */
+    /** Sees bytes before the codec does, which tells of a request only once its head is whole. What comes
+     * behind a request that waits is kept as it is, so that reading can go on. */
     private final class ByteWatch extends ChannelInboundHandlerAdapter {
         @Override
         public void handlerAdded(ChannelHandlerContext ctx) {
--- a/node/src/main/java/cedarrelay/node/ClientServer.java
+++ b/node/src/main/java/cedarrelay/node/ClientServer.java
@@ -36,8 +36,8 @@
     /** How long the front goes on sending after it has been told no, with some room: up to 0.1 s until it
      * asks, and 0.2 s more. What stands idle then is closed, so that its client goes elsewhere. */
     private static final long FRONT_LEAVES_MS = 400;
-    /** The last connections' first requests come within this: what came 0.7 s after the word to stop and finds
-     * no answer is lost. */
+    /** The last connections' first requests come within this: what came 0.7 s after the word to stop and
+     * finds no answer is lost. */
     private static final long FIRST_REQUEST_MS = 60;
 
     private final EventLoop loop;
@@ -90,8 +90,8 @@
         return new ServerBootstrap().group(group).channelFactory(() -> fresh)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
-                // Read until nothing is left, not until a buffer is not full: so the end of a connection is seen
-                // in the same turn as what came before it.
+                // Read until nothing is left, not until a buffer is not full: so the end of a connection is
+                // seen in the same turn as what came before it.
                 .childOption(ChannelOption.RECVBUF_ALLOCATOR,
                         new AdaptiveRecvByteBufAllocator(256, 2_048, ServerPool.MAX_READ)
                                 .respectMaybeMoreData(false).maxMessagesPerRead(READS))
--- a/node/src/main/java/cedarrelay/node/Config.java
+++ b/node/src/main/java/cedarrelay/node/Config.java
@@ -64,7 +64,8 @@
         try {
             return of(json, environment);
         } catch (UnsupportedOperationException | IllegalStateException e) {
-            throw new IllegalArgumentException("LB_CONFIG has a value of the wrong form: " + e.getMessage(), e);
+            throw new IllegalArgumentException("LB_CONFIG has a value of the wrong form: "
+                    + e.getMessage(), e);
         }
     }
 
--- a/node/src/main/java/cedarrelay/node/Discovery.java
+++ b/node/src/main/java/cedarrelay/node/Discovery.java
@@ -30,14 +30,14 @@
 import io.netty.util.concurrent.ScheduledFuture;
 
 /**
- * The watch on the list of servers: one at a time, opened when asked for, reported once when it fails. It owns
- * the timers of the watch and of the next try.
+ * The watch on the list of servers: one at a time, opened when asked for, reported once when it fails. It
+ * owns the timers of the watch and of the next try.
  */
 final class Discovery {
-    /** A line comes every 2 s, and what a silent watch missed binds 6 s after it fell silent: two in a row can
-     * be found and a third one opened before that. Bytes that complete no line are no sign of life. */
+    /** A line comes every 2 s, and what a silent watch missed binds 6 s after it fell silent: two in a row
+     * can be found and a third one opened before that. Bytes that complete no line are no sign of life. */
     static final long SILENT_MS = 2_500;
-    /** The agent is on this machine and answers at once: a head, or the rest of a message, takes no longer. */
+    /** The agent is on this machine and answers at once: a head, or the rest of a message, is no slower. */
     private static final long ANSWER_MS = 1_000;
     private static final int CONNECT_MS = 1_000;
     /** A line for each of some thousand servers; past it a message is malformed. */
--- a/node/src/main/java/cedarrelay/node/Exchange.java
+++ b/node/src/main/java/cedarrelay/node/Exchange.java
@@ -123,7 +123,7 @@
         paceSinceNs = System.nanoTime();
     }
 
-    /** Whether it has come slower than any client takes it since this was last asked, or is longer than any. */
+    /** Whether it has come slower than any client takes it since this was last asked, or is too long. */
     boolean isSlow() {
         long overNs = System.nanoTime() - paceSinceNs;
         boolean slow = connection.isWritable() && TimeUnit.SECONDS.toNanos(flowed - paceFrom)
--- a/node/src/main/java/cedarrelay/node/MessageFrame.java
+++ b/node/src/main/java/cedarrelay/node/MessageFrame.java
@@ -16,9 +16,9 @@
     private int length;
 
     /**
-     * Looks on; true at the end of a line between messages, or of a message. The reader then stands behind that
-     * line, or before that message, which the caller takes. Throws IllegalArgumentException if what comes is no
-     * object.
+     * Looks on; true at the end of a line between messages, or of a message. The reader then stands behind
+     * that line, or before that message, which the caller takes. Throws IllegalArgumentException if what comes
+     * is no object.
      */
     boolean next(ByteBuf text) {
         while (seen < text.readableBytes()) {
--- a/node/src/main/java/cedarrelay/node/Node.java
+++ b/node/src/main/java/cedarrelay/node/Node.java
@@ -338,8 +338,8 @@
     }
 
     /**
-     * Stops taking requests after a while and runs {@code done} as soon as all are answered. What no server has
-     * begun to answer by {@link #stopWithinMs} is answered as failed: then the process may be killed.
+     * Stops taking requests after a while and runs {@code done} as soon as all are answered. What no server
+     * has begun to answer by {@link #stopWithinMs} is answered as failed: then the process may be killed.
      */
     void stop(Runnable done) {
         lifecycle.stop();
@@ -350,7 +350,8 @@
 
     /** How long a node that was told to stop has, by the platform's word, less some room to answer in. */
     long stopWithinMs() {
-        long longestUs = config.settings().classes.stream().mapToLong(RequestClass::deadlineUs).max().orElse(0);
+        long longestUs = config.settings().classes.stream().mapToLong(RequestClass::deadlineUs).max()
+                .orElse(0);
         return Math.min(KILL_COUNTS_MS, longestUs / 1_000) + KILL_AFTER_MS - STOP_ROOM_MS;
     }
 
--- a/node/src/test/java/cedarrelay/node/CrossingTest.java
+++ b/node/src/test/java/cedarrelay/node/CrossingTest.java
@@ -20,7 +20,8 @@
 @Timeout(120)
 class CrossingTest {
     private static final FakePeer.Script SERVED = FakePeer.answer("200 OK", "", "done");
-    private static final Map<String, FakePeer.Script> ENDS = Map.of("reset", FakePeer.RESET, "close", FakePeer.CLOSE,
+    private static final Map<String, FakePeer.Script> ENDS = Map.of("reset", FakePeer.RESET,
+            "close", FakePeer.CLOSE,
             "error", FakePeer.answer("500 No", "", ""), "nonsense", FakePeer.raw("NO ANSWER\r\n\r\n"),
             "away", FakePeer.answer("503 Full", "X-Turned-Away: 1\r\n", ""),
             "half", (socket, request) -> {
@@ -54,7 +55,8 @@
         JsonObject json = Fixture.config(discovery.peer, first, second);
         JsonObject settings = json.getAsJsonObject("settings");
         settings.add("classes", JsonParser.parseString(("[{'name':'%s','repeat':'%s','group':'%s',"
-                + "'onTimeUs':10000000,'giveUpUs':30000000,'windowUs':9000000}]").formatted(name, repeat, group)));
+                + "'onTimeUs':10000000,'giveUpUs':30000000,'windowUs':9000000}]").formatted(name, repeat,
+                group)));
         return json;
     }
 
@@ -83,12 +85,14 @@
     }
 
     @ParameterizedTest
-    @CsvSource({"order, unsafe, all, reset, 1, 5", "order, unsafe, all, close, 1, 5", "hold, unsafe, all, error, 1, 5",
-        "hold, unsafe, all, nonsense, 1, 5", "hold, unsafe, all, half, 1, 5", "hold, unsafe, all, away, 2, 503",
+    @CsvSource({"order, unsafe, all, reset, 1, 5", "order, unsafe, all, close, 1, 5",
+        "hold, unsafe, all, error, 1, 5",
+        "hold, unsafe, all, nonsense, 1, 5", "hold, unsafe, all, half, 1, 5",
+        "hold, unsafe, all, away, 2, 503",
         "pay, keyed, cell, reset, 2, 5", "pay, keyed, cell, half, 2, 5", "book, keyed, zone, error, 2, 5",
         "book, keyed, all, nonsense, 2, 503", "book, keyed, cell, away, 2, 503"})
-    void whatMayFollowAnAttempt(String name, String repeat, String group, String end, int attempts, String answer)
-            throws Exception {
+    void whatMayFollowAnAttempt(String name, String repeat, String group, String end, int attempts,
+            String answer) throws Exception {
         first.script(ENDS.get(end));
         second.script(ENDS.get(end));
         node = new RunningNode(settings(name, repeat, group));
--- a/node/src/test/java/cedarrelay/node/Fixture.java
+++ b/node/src/test/java/cedarrelay/node/Fixture.java
@@ -52,7 +52,7 @@
         return socket;
     }
 
-    /** Fills the queue of connections that nobody accepts: Linux drops what comes then. The caller closes them. */
+    /** Fills the queue of connections not accepted: Linux drops what comes then. The caller closes them. */
     static List<Socket> fill(ServerSocket narrow) throws IOException {
         List<Socket> full = new ArrayList<>();
         try {
--- a/node/src/test/java/cedarrelay/node/ServerPoolTest.java
+++ b/node/src/test/java/cedarrelay/node/ServerPoolTest.java
@@ -422,9 +422,10 @@
     void aRefusalOrErrorWhoseRestDoesNotComeCounts() throws Exception {
         for (String framing : List.of("Content-Length: 10\r\n\r\nhalf", "Transfer-Encoding: chunked\r\n\r\n",
                 "Connection: close\r\n\r\n")) {
-            assertEquals(Result.FULL, outcome(FakePeer.raw("HTTP/1.1 503 No\r\nX-Turned-Away: 1\r\n" + framing))
-                    .result(), framing);
-            assertEquals(Result.ERROR, outcome(FakePeer.raw("HTTP/1.1 500 No\r\n" + framing)).result(), framing);
+            assertEquals(Result.FULL, outcome(FakePeer.raw("HTTP/1.1 503 No\r\nX-Turned-Away: 1\r\n"
+                    + framing)).result(), framing);
+            assertEquals(Result.ERROR, outcome(FakePeer.raw("HTTP/1.1 500 No\r\n" + framing)).result(),
+                    framing);
         }
     }
 }
--- a/node/src/test/java/cedarrelay/node/StopTest.java
+++ b/node/src/test/java/cedarrelay/node/StopTest.java
@@ -21,7 +21,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
-/** A node that was told to stop, with requests at each stage; on its own clock, whose timers keep their order. */
+/** A node that was told to stop, with requests at each stage; by its own clock, whose timers keep order. */
 @Timeout(120)
 class StopTest {
     private FakeDiscovery discovery;
