--- a/node/src/main/java/cedarrelay/node/MessageFrame.java
+++ b/node/src/main/java/cedarrelay/node/MessageFrame.java
@@ -17,8 +17,8 @@
 
     /**
      * Looks on; true at the end of a line between messages, or of a message. The reader then stands behind
-     * that line, or before that message, which the caller takes. Throws IllegalArgumentException if what comes
-     * is no object.
+     * that line, or before that message, which the caller takes. Throws IllegalArgumentException if what
+     * comes is no object.
      */
     boolean next(ByteBuf text) {
         while (seen < text.readableBytes()) {
--- a/node/src/main/java/cedarrelay/node/ServerPool.java
+++ b/node/src/main/java/cedarrelay/node/ServerPool.java
@@ -46,8 +46,8 @@
     static final long REST_MS = 10;
     /** For so long after such a thing was seen. A rest costs the connections that servers close meanwhile. */
     private static final long STRAY_KEPT_NS = TimeUnit.MINUTES.toNanos(1);
-    /** How long an answer whose length is not known is held in the hope that it is short; and how long the rest
-     * of a refusal or an error is waited for, which would leave its connection to the next request. */
+    /** How long an answer whose length is not known is held in the hope that it is short; and how long the
+     * rest of a refusal or an error is waited for, which would leave its connection to the next request. */
     private static final long HOLD_MS = 50;
     /** A server that gives nothing of a long answer, or takes nothing of a request, for so long will not go
      * on: whole seconds are no pause of one that lives. */
--- a/node/src/test/java/cedarrelay/node/NodeTest.java
+++ b/node/src/test/java/cedarrelay/node/NodeTest.java
@@ -406,6 +406,6 @@
         int status = status(ask(Fixture.request("POST", "/photo", 1, "Idempotency-Key: k\r\n", "")));
         assertTrue(status >= 500 && status != 503, "answered " + status);
         assertEquals(200, status(ask("GET /ready HTTP/1.1\r\n\r\n")));
-        assertEquals(1, first.requests.size() + second.requests.size(), "repeated where its key is not known");
+        assertEquals(1, first.requests.size() + second.requests.size(), "repeated where nobody knows it");
     }
 }
