--- a/node/src/main/java/cedarrelay/node/ClientConnection.java
+++ b/node/src/main/java/cedarrelay/node/ClientConnection.java
@@ -301,8 +301,8 @@
 
     /**
      * The end of a request is taken in only once all else that the system has of this connection has been
-     * looked at: it may have come long ago, with the end of the connection right behind it, and so may the end
-     * of a server's idle connection. A client that was not read for a while is read first.
+     * looked at: it may have come long ago, with the end of the connection right behind it, and so may the
+     * end of a server's idle connection. A client that was not read for a while is read first.
      */
     private void lastPart(ByteBuf part, long now) {
         Incoming done = incoming;
