Wait for timers in whole milliseconds rounded up, so that a loop does not spin before them

Netty's NioIoHandler.millisBeforeDeadline rounds the wait for the next timer to the nearest millisecond: where less than half of one is left, it does not wait at all. Ruled out: collections, safepoints, handshakes, the module's calls, a wait for a core. Change: WholeMillis tells the handler a wait that is rounded up; a timer is up to 1 ms late instead of up to 0.5 ms of a core early. Option not taken: another transport; the loop's own select, which is private to the library.

--- a/node/src/main/java/cedarrelay/node/Main.java
+++ b/node/src/main/java/cedarrelay/node/Main.java
@@ -10,7 +10,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.concurrent.Future;
 
 /** Starts one node, and ends it in order when told to. */
@@ -75,7 +74,7 @@
 
     /** Throws IllegalArgumentException with one line if a node could not start with this. */
     public static void check(String json) {
-        EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, WholeMillis.newFactory());
         try {
             new Node(Config.parse(json, Map.of()), group.next()).close();
         } finally {
@@ -105,7 +104,7 @@
     }
 
     private static void serve(Source source, UnaryOperator<String> metrics, Peers peers) {
-        EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, WholeMillis.newFactory());
         EventLoop loop = group.next();
         Config config;
         Node node;
@@ -123,7 +122,7 @@
         }
         onHangUp(() -> reload(source, node, loop));
         if (config.admin() != null) {
-            EventLoopGroup callers = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+            EventLoopGroup callers = new MultiThreadIoEventLoopGroup(1, WholeMillis.newFactory());
             new AdminServer(node.figures(), node.lifecycle(), CALL_WITHIN_MS, metrics)
                     .listen(callers, config.admin()).addListener(done -> needed(done, "for operators"));
         }
@@ -139,7 +138,7 @@
     }
 
     private static void rehearse() {
-        EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, WholeMillis.newFactory());
         Node node = new Node(Config.parse(EXAMPLE, Map.of()), group.next());
         group.next().execute(() -> node.start(group, REHEARSED)
                 .addListener(ready -> group.shutdownGracefully()));
--- /dev/null
+++ b/node/src/test/java/cedarrelay/node/WholeMillisTest.java
@@ -0,0 +1,109 @@
+package cedarrelay.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.channels.spi.SelectorProvider;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import io.netty.channel.DefaultSelectStrategyFactory;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.IoHandle;
+import io.netty.channel.IoHandler;
+import io.netty.channel.IoHandlerContext;
+import io.netty.channel.IoHandlerFactory;
+import io.netty.channel.IoRegistration;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.SelectStrategy;
+import io.netty.channel.nio.NioIoHandler;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** A loop's wait for its next timer. */
+@Timeout(60)
+class WholeMillisTest {
+    private static final int TIMERS = 40;
+
+    /** Keeps what it was told of the loop's timers. */
+    private static final class Told implements IoHandler {
+        private long delay;
+
+        @Override
+        public int run(IoHandlerContext loop) {
+            delay = loop.delayNanos(0);
+            return 0;
+        }
+
+        @Override
+        public IoRegistration register(IoHandle handle) {
+            throw new IllegalStateException();
+        }
+
+        @Override
+        public void wakeup() { }
+
+        @Override
+        public boolean isCompatible(Class<? extends IoHandle> type) {
+            return false;
+        }
+    }
+
+    private record Loop(long delayNanos) implements IoHandlerContext {
+        @Override
+        public boolean canBlock() {
+            return true;
+        }
+
+        @Override
+        public long delayNanos(long nowNs) {
+            return delayNanos;
+        }
+
+        @Override
+        public long deadlineNanos() {
+            return delayNanos;
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource({"0, 0", "-5, -5", "1, 1000000", "499999, 1000000", "500000, 1000000", "1000000, 1000000",
+        "1000001, 2000000", "50400000, 51000000", "9223372036854775807, 9223372036854775807"})
+    void theWaitIsRoundedUp(long delay, long told) {
+        Told selecting = new Told();
+        new WholeMillis(selecting).run(new Loop(delay));
+        assertEquals(told, selecting.delay);
+    }
+
+    @Test
+    void aLoopDoesNotGoRoundAndRoundBeforeItsTimers() throws Exception {
+        AtomicInteger rounds = new AtomicInteger();
+        SelectStrategy usual = DefaultSelectStrategyFactory.INSTANCE.newSelectStrategy();
+        IoHandlerFactory counting = NioIoHandler.newFactory(SelectorProvider.provider(), () -> (get, now) -> {
+            rounds.incrementAndGet();
+            return usual.calculateStrategy(get, now);
+        });
+        EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, WholeMillis.of(counting));
+        try {
+            CountDownLatch left = new CountDownLatch(TIMERS);
+            EventLoop loop = group.next();
+            loop.execute(() -> next(loop, left));
+            assertTrue(left.await(30, TimeUnit.SECONDS));
+            assertTrue(rounds.get() <= 3 * TIMERS, rounds + " rounds for " + TIMERS + " timers");
+        } finally {
+            group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+        }
+    }
+
+    /** One timer after another, none of them due at a whole millisecond. */
+    private static void next(EventLoop loop, CountDownLatch left) {
+        left.countDown();
+        if (left.getCount() > 0) {
+            loop.schedule(() -> next(loop, left), 3_400, TimeUnit.MICROSECONDS);
+        }
+    }
+}
