Let connections always rest 10 ms after an answer, so that no first stray one is taken for the next

Cause: a connection rested only where a stray answer had been seen within the last minute (ServerPool.mayCarry): the first one, where all connections of a server are in use, could be read as the answer to the next request on it, which is then served with what no server made for it. Read in the code. Change: a rest always; strayed(), its time and its minute are gone. The test that asked for a quick reuse before the first stray answer asks for the rest from the first answer on. Option not taken: a rest for as long as a node is young; it would only move the first time. Measured: ServerPoolTest.connectionsRestSoThatNothingLateIsTakenForTheNextAnswerFromTheFirstOneOn: without the change its second request goes out on the connection that the stray answer comes on.

--- a/node/src/main/java/cedarrelay/node/ServerPool.java
+++ b/node/src/main/java/cedarrelay/node/ServerPool.java
@@ -44,8 +44,6 @@
      * after the next request was written would be read as its answer: some milliseconds later, say the
      * operators. */
     static final long REST_MS = 10;
-    /** For so long after such a thing was seen. A rest costs the connections that servers close meanwhile. */
-    private static final long STRAY_KEPT_NS = TimeUnit.MINUTES.toNanos(1);
     /** How long an answer whose length is not known is held in the hope that it is short; and how long the
      * rest of a refusal or an error is waited for, which would leave its connection to the next request. */
     private static final long HOLD_MS = 50;
@@ -150,9 +148,6 @@
     private final Bootstrap bootstrap;
     private final long keepIdleNs;
     private final long restNs;
-    /** Whether a server has sent more than belonged to an answer, and when one last did. */
-    private boolean strayed;
-    private long strayAt;
     private final ScheduledFuture<?> sweeper;
     private final Map<String, Server> servers = new HashMap<>();
 
@@ -231,28 +226,19 @@
         return attempt;
     }
 
-    /** The most recently used one that has rested; one that has not only where none has sent too much. */
+    /** The most recently used one that has rested. */
     private Connection takeIdle(Server server) {
         long now = System.nanoTime();
         while (!server.idle.isEmpty() && !server.idle.peek().isFit(now)) {
             server.idle.poll().channel.close();
         }
-        Connection taken = null;
         for (Connection connection : server.idle) {
-            if (connection.isFit(now) && connection.isRested(now)) {
-                taken = connection;
-                break;
+            if (connection.mayCarry(now)) {
+                server.idle.remove(connection);
+                return connection;
             }
-            taken = taken == null && connection.mayCarry(now) ? connection : taken;
         }
-        server.idle.remove(taken);
-        return taken;
-    }
-
-    /** Some server sends more than belongs to an answer: connections rest from now on. */
-    void strayed() {
-        strayed = true;
-        strayAt = System.nanoTime();
+        return null;
     }
 
     /** Connections at rest take what waits as soon as they have rested, if no new one has by then. */
@@ -403,14 +389,9 @@
             return channel.isActive() && now - idleSince <= keepIdleNs;
         }
 
-        /** Whether what else the last answer may have brought would have come; a fresh one need not rest. */
-        boolean isRested(long now) {
-            return !used || now - idleSince >= restNs;
-        }
-
-        /** Whether it may carry a request now, rested or not. */
+        /** Whether it is fit, and what else its last answer brought has come; a fresh one need not rest. */
         boolean mayCarry(long now) {
-            return isFit(now) && (isRested(now) || !strayed || now - strayAt > STRAY_KEPT_NS);
+            return isFit(now) && (!used || now - idleSince >= restNs);
         }
 
         void send(Attempt next) {
@@ -469,9 +450,6 @@
         private void read(Object message) {
             if (attempt == null || result != null) {
                 // What follows a broken answer, or a second answer that came with the first.
-                if (result != null) {
-                    strayed();
-                }
                 reusable = false;
                 drop();
                 return;
@@ -635,7 +613,6 @@
             public void channelRead(ChannelHandlerContext ctx, Object message) {
                 if (attempt == null) {
                     ReferenceCountUtil.release(message);
-                    strayed();
                     drop();
                 } else {
                     ctx.fireChannelRead(message);
