Make room by closing a client that rests before one whose request has come in part

Cause: ClientServer.closeOldestIdle took the oldest connection without a whole request, also one of whose request some bytes had been read, while others rested: what its client had sent was lost to it. Found when reading for crossings on closing connections; needs few descriptors and many clients. Measured: CrossingTest.aRequestHalfReadIsNotThrownAwayWhereARestingConnectionCanGo; its client gets no answer without the change.

--- a/node/src/main/java/cedarrelay/node/ClientServer.java
+++ b/node/src/main/java/cedarrelay/node/ClientServer.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
@@ -202,9 +203,15 @@
         }
     }
 
+    /** One that rests goes before one whose request may be on its way, or has come in part. */
     private boolean closeOldestIdle() {
+        long now = System.nanoTime();
+        return closeOldest(c -> c.isSpare(now)) || closeOldest(ClientConnection::isIdle);
+    }
+
+    private boolean closeOldest(Predicate<ClientConnection> which) {
         for (ClientConnection connection : connections) {
-            if (connection.isIdle()) {
+            if (which.test(connection)) {
                 connection.close();
                 return true;
             }
--- a/node/src/test/java/cedarrelay/node/CrossingTest.java
+++ b/node/src/test/java/cedarrelay/node/CrossingTest.java
@@ -84,6 +84,24 @@
         assertEquals(20, first.requests.size());
     }
 
+    @Test
+    void aRequestHalfReadIsNotThrownAwayWhereARestingConnectionCanGo() throws Exception {
+        JsonObject json = Fixture.config(discovery.peer, first);
+        json.getAsJsonObject("limits").addProperty("sockets", Sockets.RESERVE + 8);
+        node = new RunningNode(json);
+        Socket half = node.connect();
+        String request = Fixture.request("GET", "/view", 1, "", "");
+        FakePeer.write(half, request.substring(0, 30));
+        for (int i = 2; i < 20; i++) {
+            Socket client = node.connect();
+            FakePeer.write(client, Fixture.request("GET", "/view", i, "", ""));
+            assertTrue(FakePeer.read(client).startsWith("HTTP/1.1 200"));
+        }
+        FakePeer.write(half, request.substring(30));
+        String answer = FakePeer.read(half);
+        assertTrue(answer != null && answer.startsWith("HTTP/1.1 200"), answer);
+    }
+
     @ParameterizedTest
     @CsvSource({"order, unsafe, all, reset, 1, 5", "order, unsafe, all, close, 1, 5",
         "hold, unsafe, all, error, 1, 5",
--- a/node/src/test/java/cedarrelay/node/MainTest.java
+++ b/node/src/test/java/cedarrelay/node/MainTest.java
@@ -126,6 +126,36 @@
         assertEquals(0, process.exitValue());
     }
 
+    @Test
+    void aSecondSigtermAndAChangedConfigurationWhileItStopsCostNothing() throws Exception {
+        server.script(FakePeer.SILENT);
+        start(Fixture.config(discovery, server), "");
+        Socket client = connect();
+        FakePeer.write(client, Fixture.request("POST", "/order", 1, "", "x"));
+        server.nextRequest();
+        Socket attempt = FakePeer.soon(server.accepted);
+        process.destroy();
+        hangUp();
+        process.destroy();
+        // It has seen the word to stop once connections end with their answer.
+        String other = "";
+        while (!"close".equals(other)) {
+            try (Socket late = connect()) {
+                FakePeer.write(late, "GET /nothing HTTP/1.1\r\n\r\n");
+                other = FakePeer.header(FakePeer.read(late), "Connection");
+            }
+        }
+        hangUp();
+        process.destroy();
+        FakePeer.write(attempt, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone");
+        String answer = FakePeer.read(client);
+        assertTrue(answer != null && answer.endsWith("done"), answer);
+        assertNull(FakePeer.read(client), "a second answer");
+        assertTrue(process.waitFor(FakePeer.PATIENCE_S, TimeUnit.SECONDS), "still there after it");
+        assertEquals(0, process.exitValue());
+        assertEquals(0, server.requests.size());
+    }
+
     @Test
     void sighupMovesTheWatchAndABadFileChangesNothing() throws Exception {
         JsonObject config = Fixture.config(discovery, server);
--- a/node/src/test/java/cedarrelay/node/ServerPoolTest.java
+++ b/node/src/test/java/cedarrelay/node/ServerPoolTest.java
@@ -13,6 +13,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 
@@ -244,6 +245,48 @@
         assertTrue(server.requests.isEmpty());
     }
 
+    @Test
+    void givenUpInTheTurnInWhichItsConnectionComesUpItIsReportedOnceAndAsWhatItWas() throws Exception {
+        server.script(FakePeer.SILENT);
+        ServerPool pool = pool(server.address(), IDLE_US);
+        for (boolean dialledFirst : new boolean[] {true, false}) {
+            Probe probe = new Probe(10);
+            CountDownLatch goOn = new CountDownLatch(1);
+            loop.execute(() -> {
+                ServerPool.Attempt attempt = pool.start("s", probe);
+                // Behind the dialling, which waits in the loop's line itself.
+                loop.execute(() -> {
+                    awaitQuietly(goOn);
+                    Runnable giveUp = () -> attempt.giveUp(Result.TIMEOUT);
+                    if (dialledFirst) {
+                        // Looked at after the sockets.
+                        loop.schedule(giveUp, 1, TimeUnit.NANOSECONDS);
+                    } else {
+                        loop.execute(giveUp);
+                    }
+                });
+            });
+            Socket dialled = FakePeer.soon(server.accepted);
+            goOn.countDown();
+            Result result = probe.report().result();
+            if (result != Result.MOOT) {
+                assertSame(dialled, FakePeer.soon(server.ended));
+            }
+            loop.submit(() -> { }).get();
+            assertTrue(probe.reports.isEmpty(), "reported twice");
+            assertEquals(result == Result.MOOT ? 0 : 1, server.requests.size(), result.toString());
+            server.requests.clear();
+        }
+    }
+
+    private static void awaitQuietly(CountDownLatch latch) {
+        try {
+            latch.await(FakePeer.PATIENCE_S, TimeUnit.SECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     @Test
     void connectionsAreReusedMostRecentFirst() throws Exception {
         BlockingQueue<Socket> used = new LinkedBlockingQueue<>();
