--- a/node/src/test/java/cedarrelay/node/RunningNode.java
+++ b/node/src/test/java/cedarrelay/node/RunningNode.java
@@ -74,15 +74,18 @@
         }
     }
 
+    /** Its clients leave; then it holds no request any more. */
     @Override
     public void close() {
-        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
-        for (Socket client : clients) {
-            try {
+        try {
+            for (Socket client : clients) {
                 client.close();
-            } catch (IOException e) {
-                throw new UncheckedIOException(e);
             }
+            await("in_flight", 0);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        } finally {
+            group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
         }
     }
 }
