Report the direct memory in use and how long the event loop was busy

The time is taken from the polls that are timed already; no timer and no clock call is new.

Ten thread dumps, 1.5 s apart: all in Thread.sleep of java.nio.Bits.reserveMemory, called for a new chunk of the allocator.

--- a/node/src/main/java/tansypass/node/admin/NodeMetrics.java
+++ b/node/src/main/java/tansypass/node/admin/NodeMetrics.java
@@ -4,6 +4,8 @@
 import java.util.List;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicLongArray;
+import java.util.function.LongSupplier;
+import tansypass.node.lifecycle.DirectMemory;
 
 /**
  * The counters of this process since its start, and the gauges of its present state. The node's event loop updates
@@ -34,12 +36,27 @@
     private final AtomicLong attempts = new AtomicLong();
     private final AtomicLong inFlight = new AtomicLong();
     private final AtomicLong abandoned = new AtomicLong();
+    private final LongSupplier directMemory;
+    private final long directMemoryLimit;
+    private volatile long maxEventLoopBusyMs;
     private volatile int knownServers;
     private volatile int excludedServers;
 
     /** Creates metrics that are all 0, with a counter for each outcome of each class. */
     public NodeMetrics(List<String> classNames) {
+        this(classNames, DirectMemory::allocatedBytes, DirectMemory.limitBytes());
+    }
+
+    /**
+     * Creates metrics that are all 0, with another source of the direct memory.
+     *
+     * @param directMemory returns the bytes in use; called on any thread
+     * @param directMemoryLimit in bytes
+     */
+    public NodeMetrics(List<String> classNames, LongSupplier directMemory, long directMemoryLimit) {
         this.classNames = List.copyOf(classNames);
+        this.directMemory = directMemory;
+        this.directMemoryLimit = directMemoryLimit;
         responses = new AtomicLongArray(classNames.size() * OUTCOMES.length);
     }
 
@@ -74,6 +91,11 @@
         excludedServers = excluded;
     }
 
+    /** Records how long the event loop was busy between two polls. Must be called on the event loop only. */
+    public void recordEventLoopBusy(long busyMs) {
+        maxEventLoopBusyMs = Math.max(maxEventLoopBusyMs, busyMs);
+    }
+
     /** Formats all metrics as lines of {@code node.name=value}. */
     public String format() {
         StringBuilder text = new StringBuilder();
@@ -90,6 +112,9 @@
         appendLine(text, "abandoned", abandoned.get());
         appendLine(text, "web_servers_known", knownServers);
         appendLine(text, "web_servers_excluded", excludedServers);
+        appendLine(text, "direct_memory_bytes", directMemory.getAsLong());
+        appendLine(text, "direct_memory_limit_bytes", directMemoryLimit);
+        appendLine(text, "event_loop_busy_max_ms", maxEventLoopBusyMs);
         return text.toString();
     }
 
--- a/node/src/main/java/tansypass/node/lifecycle/ArrivalEstimator.java
+++ b/node/src/main/java/tansypass/node/lifecycle/ArrivalEstimator.java
@@ -53,6 +53,11 @@
         pollTimeoutNs = 0;
     }
 
+    /** Returns the time from the end of the previous poll to the start of the present one. */
+    long busyNs() {
+        return pollStartNs - pollEndNs;
+    }
+
     /** Records how long the present poll may wait. */
     void onPollTimeout(long timeoutNs) {
         pollTimeoutNs = Math.max(0, timeoutNs);
--- a/node/src/main/java/tansypass/node/lifecycle/PollTimingIoHandler.java
+++ b/node/src/main/java/tansypass/node/lifecycle/PollTimingIoHandler.java
@@ -4,9 +4,13 @@
 import io.netty.channel.IoHandlerContext;
 import io.netty.channel.IoHandlerFactory;
 
-/** Reports the polls of an event loop to its {@link ArrivalEstimator}. Used on that loop's thread only. */
+/**
+ * Reports the polls of an event loop to its {@link ArrivalEstimator} and {@link EventLoopMonitor}. Used on that loop's
+ * thread only.
+ */
 final class PollTimingIoHandler extends ForwardingIoHandler {
     private final ArrivalEstimator estimator;
+    private final EventLoopMonitor monitor = new EventLoopMonitor();
 
     /** Wraps the handler that does the polling. */
     PollTimingIoHandler(IoHandler delegate, ArrivalEstimator estimator) {
@@ -23,12 +27,14 @@
     @Override
     public int run(IoHandlerContext context) {
         estimator.onPollStart();
+        monitor.onPollStart(estimator.busyNs());
         return super.run(new TimingContext(context, estimator));
     }
 
     @Override
     public void initialize() {
         estimator.bindToThread();
+        monitor.bindToThread();
         super.initialize();
     }
 
--- a/node/src/main/java/tansypass/node/logging/LogEvent.java
+++ b/node/src/main/java/tansypass/node/logging/LogEvent.java
@@ -17,6 +17,8 @@
     CONFLICTING_ENDPOINTS("conflicting entries in endpoint list, last one wins: revision={} server={}"),
     /** No server of the endpoint list accepts requests. */
     NO_SERVER_READY("no server ready listed={}"),
+    /** The event loop was busy for so long that clients and web servers waited for it. */
+    EVENT_LOOP_BLOCKED("event loop blocked duration_ms={} direct_memory_bytes={}"),
     /** The load balancer has ejected a server that failed too often. */
     SERVER_EJECTED("server ejected server={} failures={}"),
     /** The load balancer has restored an ejected server that succeeds again. */
--- a/node/src/main/java/tansypass/node/process/ProxyNode.java
+++ b/node/src/main/java/tansypass/node/process/ProxyNode.java
@@ -22,6 +22,8 @@
 import tansypass.node.frontend.ClientRequestParser;
 import tansypass.node.frontend.HttpFrontend;
 import tansypass.node.lifecycle.DescriptorLimiter;
+import tansypass.node.lifecycle.DirectMemory;
+import tansypass.node.lifecycle.EventLoopMonitor;
 import tansypass.node.lifecycle.Lifecycle;
 import tansypass.node.logging.LogEvent;
 import tansypass.node.request.RequestDispatcher;
@@ -54,6 +56,9 @@
     /** The time limit of the warm-up, which a slow machine may exceed. A partly warmed-up node can serve. */
     private static final long WARM_UP_TIMEOUT_MS = 2_500;
 
+    /** The shortest time for which the event loop is busy that is logged: the longest hold-up that rules allow for. */
+    private static final long EVENT_LOOP_BLOCKED_MS = 150;
+
     private static final long US_PER_MS = 1_000;
 
     private final NodeConfig config;
@@ -159,6 +164,7 @@
         ChannelFuture binding = frontend.listen(group, config.listen());
         binding.addListener(bound -> {
             if (bound.isSuccess()) {
+                EventLoopMonitor.setListener(this::onEventLoopBusy);
                 lifecycle.markStarted();
                 ready.setSuccess(binding.channel());
             } else {
@@ -167,6 +173,17 @@
         });
     }
 
+    private void onEventLoopBusy(long busyNs) {
+        long busyMs = TimeUnit.NANOSECONDS.toMillis(busyNs);
+        if (busyMs == 0) {
+            return;
+        }
+        metrics.recordEventLoopBusy(busyMs);
+        if (busyMs >= EVENT_LOOP_BLOCKED_MS) {
+            LOG.log(Level.WARNING, LogEvent.EVENT_LOOP_BLOCKED.line(busyMs, DirectMemory.allocatedBytes()));
+        }
+    }
+
     /** Returns the node's counters. May be called and read from any thread. */
     public NodeMetrics metrics() {
         return metrics;
--- a/node/src/test/java/tansypass/node/ExternalNamesTest.java
+++ b/node/src/test/java/tansypass/node/ExternalNamesTest.java
@@ -72,7 +72,10 @@
                         "node.in_flight",
                         "node.abandoned",
                         "node.web_servers_known",
-                        "node.web_servers_excluded"),
+                        "node.web_servers_excluded",
+                        "node.direct_memory_bytes",
+                        "node.direct_memory_limit_bytes",
+                        "node.event_loop_busy_max_ms"),
                 new NodeMetrics(List.of("view"))
                         .format()
                         .lines()
--- a/node/src/test/java/tansypass/node/admin/AdminServerTest.java
+++ b/node/src/test/java/tansypass/node/admin/AdminServerTest.java
@@ -27,7 +27,7 @@
 @Timeout(120)
 class AdminServerTest {
     private final Lifecycle lifecycle = new Lifecycle();
-    private final NodeMetrics nodeMetrics = new NodeMetrics(List.of("view", "order"));
+    private final NodeMetrics nodeMetrics = new NodeMetrics(List.of("view", "order"), () -> 5, 8);
     private EventLoopGroup group;
     private Channel serverChannel;
 
@@ -154,6 +154,8 @@
         nodeMetrics.recordAttempt();
         nodeMetrics.recordAbandoned();
         nodeMetrics.setServerCounts(12, 3);
+        nodeMetrics.recordEventLoopBusy(7);
+        nodeMetrics.recordEventLoopBusy(2);
         String response = call("GET /_vars HTTP/1.1\r\n\r\n");
         assertEquals("""
                 node.requests.view.served=0
@@ -167,6 +169,9 @@
                 node.abandoned=1
                 node.web_servers_known=12
                 node.web_servers_excluded=3
+                node.direct_memory_bytes=5
+                node.direct_memory_limit_bytes=8
+                node.event_loop_busy_max_ms=7
                 """, response.substring(response.indexOf("\r\n\r\n") + 4));
     }
 
