--- a/node/src/main/java/tansypass/node/frontend/ClientConnection.java
+++ b/node/src/main/java/tansypass/node/frontend/ClientConnection.java
@@ -42,7 +42,7 @@
         this.channel = channel;
         pipelined = new PipelinedInput(this, frontend.memoryLimiter());
         reader = new RequestReader(frontend, this, channel);
-        writer = new ResponseWriter(this, channel);
+        writer = new ResponseWriter(this, channel, frontend.streamMemoryLimiter());
         timeouts = new ClientTimeouts(this, channel);
     }
 
@@ -216,6 +216,7 @@
         frontend.removeConnection(this);
         pipelined.clear();
         abandonRequest();
+        writer.onChannelEnd();
     }
 
     @Override
--- a/node/src/main/java/tansypass/node/frontend/HttpFrontend.java
+++ b/node/src/main/java/tansypass/node/frontend/HttpFrontend.java
@@ -12,6 +12,7 @@
 import tansypass.node.http.BadRequestException;
 import tansypass.node.http.BodyMemoryLimiter;
 import tansypass.node.http.RequestBody;
+import tansypass.node.http.StreamMemoryLimiter;
 import tansypass.node.lifecycle.DescriptorLimiter;
 import tansypass.node.lifecycle.Lifecycle;
 
@@ -36,6 +37,7 @@
     private final Lifecycle lifecycle;
     private final NodeMetrics metrics;
     private final Consumer<Exchange> dispatcher;
+    private final StreamMemoryLimiter streamMemoryLimiter;
     private final BodyMemoryLimiter memoryLimiter = new BodyMemoryLimiter();
     private final ConnectionAcceptor acceptor;
     private final ClientConnectionRegistry connections;
@@ -44,17 +46,20 @@
     /**
      * Creates a frontend that does not listen yet.
      *
+     * @param streamMemoryLimiter bounds the memory of responses that wait for their clients
      * @param dispatcher receives each request once: when it is complete, or earlier if its body is long
      */
     public HttpFrontend(
             EventLoop loop,
             DescriptorLimiter descriptors,
+            StreamMemoryLimiter streamMemoryLimiter,
             ClientRequestParser parser,
             Lifecycle lifecycle,
             NodeMetrics metrics,
             Consumer<Exchange> dispatcher) {
         this.loop = loop;
         this.descriptors = descriptors;
+        this.streamMemoryLimiter = streamMemoryLimiter;
         this.parser = parser;
         this.lifecycle = lifecycle;
         this.metrics = metrics;
@@ -137,6 +142,11 @@
         return memoryLimiter;
     }
 
+    /** Returns the limiter of the memory of responses that wait for their clients. */
+    StreamMemoryLimiter streamMemoryLimiter() {
+        return streamMemoryLimiter;
+    }
+
     /** Returns the responder to the requests for the node itself. */
     LocalResponder localResponder() {
         return localResponder;
--- a/node/src/main/java/tansypass/node/frontend/ResponseWriter.java
+++ b/node/src/main/java/tansypass/node/frontend/ResponseWriter.java
@@ -13,6 +13,8 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.util.concurrent.TimeUnit;
+import tansypass.node.http.StreamMemoryLimiter;
+import tansypass.node.http.StreamWindow;
 
 /**
  * Writes a connection's responses, and closes the connection after the last one. It owns the timer of the lingering
@@ -32,6 +34,7 @@
 
     private final ClientConnection connection;
     private final Channel channel;
+    private final StreamWindow window;
     private int unwrittenResponses;
     private boolean closing;
     /** Runs when the channel accepts more of the streamed response; null if no response is being streamed. */
@@ -40,9 +43,10 @@
     private boolean keepAliveAfterStream;
 
     /** Creates the writer of an open connection. */
-    ResponseWriter(ClientConnection connection, Channel channel) {
+    ResponseWriter(ClientConnection connection, Channel channel, StreamMemoryLimiter memoryLimiter) {
         this.connection = connection;
         this.channel = channel;
+        window = new StreamWindow(channel, memoryLimiter);
     }
 
     /** Returns whether the connection serves no further request. */
@@ -78,9 +82,8 @@
      */
     void sendFinalResponse(FullHttpResponse response) {
         closing = true;
-        unwrittenResponses++;
-        ChannelFuture writing =
-                channel.writeAndFlush(withConnectionClose(response)).addListener(written -> unwrittenResponses--);
+        ChannelFuture writing = channel.writeAndFlush(withConnectionClose(response));
+        trackUntilWritten(writing);
         closeAfter(writing, LINGER_MS);
     }
 
@@ -101,12 +104,14 @@
 
     /** Writes a part of the streamed response and takes over its reference. */
     void writePart(ByteBuf part) {
+        window.resize();
         channel.write(new DefaultHttpContent(part));
     }
 
     /** Flushes what has been written. */
     void flush() {
         channel.flush();
+        window.updateUsage();
     }
 
     /** Returns whether the channel accepts more data. */
@@ -116,6 +121,7 @@
 
     /** Notifies the source of the streamed response if the channel accepts more data. */
     void onWritabilityChanged() {
+        window.updateUsage();
         if (whenWritable != null && channel.isWritable()) {
             whenWritable.run();
         }
@@ -127,6 +133,11 @@
         return endResponse(channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT), keepAliveAfterStream);
     }
 
+    /** Stops counting the bytes that wait, because the channel has ended. */
+    void onChannelEnd() {
+        window.updateUsage();
+    }
+
     /** Stops notifying the source of the streamed response. */
     void stopStreaming() {
         whenWritable = null;
@@ -150,8 +161,7 @@
     private ChannelFuture endResponse(ChannelFuture writing, boolean keepOpen) {
         boolean clientIsSending = closing || connection.hasUnprocessedInput();
         connection.onResponseSent();
-        unwrittenResponses++;
-        writing.addListener(written -> unwrittenResponses--);
+        trackUntilWritten(writing);
         if (!keepOpen) {
             closing = true;
             return closeAfter(writing, clientIsSending ? LINGER_MS : IDLE_LINGER_MS);
@@ -160,6 +170,15 @@
         return writing;
     }
 
+    private void trackUntilWritten(ChannelFuture writing) {
+        unwrittenResponses++;
+        window.updateUsage();
+        writing.addListener(written -> {
+            unwrittenResponses--;
+            window.updateUsage();
+        });
+    }
+
     /**
      * Closes the connection some time after the write (lingering close). If the connection were closed at once while
      * input is unread or on its way, the kernel would reset it and discard the response.
--- a/node/src/main/java/tansypass/node/http/RequestBodyWriter.java
+++ b/node/src/main/java/tansypass/node/http/RequestBodyWriter.java
@@ -10,6 +10,7 @@
 /** Writes a request body to a server while it is received, and only as long as the channel is writable. */
 public final class RequestBodyWriter {
     private final Channel channel;
+    private final StreamWindow window;
     private final RequestBody body;
     private final ProgressTimeout progressTimeout;
     private final Consumer<ChannelFuture> onLastWritten;
@@ -18,12 +19,18 @@
     /**
      * Creates a writer that has not started.
      *
+     * @param window the window of the channel
      * @param progressTimeout the timeout that each written part restarts
      * @param onLastWritten the consumer of the last write's future
      */
     public RequestBodyWriter(
-            Channel channel, RequestBody body, ProgressTimeout progressTimeout, Consumer<ChannelFuture> onLastWritten) {
+            Channel channel,
+            StreamWindow window,
+            RequestBody body,
+            ProgressTimeout progressTimeout,
+            Consumer<ChannelFuture> onLastWritten) {
         this.channel = channel;
+        this.window = window;
         this.body = body;
         this.progressTimeout = progressTimeout;
         this.onLastWritten = onLastWritten;
@@ -39,6 +46,7 @@
     public void writeAvailable() {
         ByteBuf part = !closed && channel.isWritable() ? body.readNextOrNull() : null;
         while (part != null) {
+            window.resize();
             progressTimeout.recordProgress();
             channel.write(new DefaultHttpContent(part));
             part = !closed && channel.isWritable() ? body.readNextOrNull() : null;
@@ -49,6 +57,7 @@
         } else {
             channel.flush();
         }
+        window.updateUsage();
     }
 
     /** Stops writing. */
--- a/node/src/main/java/tansypass/node/lifecycle/DescriptorLimiter.java
+++ b/node/src/main/java/tansypass/node/lifecycle/DescriptorLimiter.java
@@ -51,6 +51,11 @@
         idleServerCloser = closeIdle;
     }
 
+    /** Returns the maximum number of client connections. */
+    public int maxClients() {
+        return maxClients;
+    }
+
     /** Returns whether another client connection may be accepted. */
     public boolean hasClientCapacity() {
         return clientCount < maxClients && clientCount + serverCount < maxSockets;
--- a/node/src/main/java/tansypass/node/process/ProxyNode.java
+++ b/node/src/main/java/tansypass/node/process/ProxyNode.java
@@ -21,6 +21,7 @@
 import tansypass.node.configuration.NodeConfig;
 import tansypass.node.frontend.ClientRequestParser;
 import tansypass.node.frontend.HttpFrontend;
+import tansypass.node.http.StreamMemoryLimiter;
 import tansypass.node.lifecycle.DescriptorLimiter;
 import tansypass.node.lifecycle.DirectMemory;
 import tansypass.node.lifecycle.EventLoopMonitor;
@@ -89,13 +90,25 @@
                 settings.classes().stream().map(RequestClass::name).toList());
         balancer = new BalancerExecutor(loop, metrics);
         DescriptorLimiter descriptors = new DescriptorLimiter(config.maxDescriptors());
+        StreamMemoryLimiter streamMemory = new StreamMemoryLimiter(DirectMemory.limitBytes(), descriptors.maxClients());
         pool = new UpstreamConnectionPool(
-                loop, descriptors, settings.connectTimeoutUs(), settings.connectionIdleUs(), quarantineMs);
+                loop,
+                descriptors,
+                streamMemory,
+                settings.connectTimeoutUs(),
+                settings.connectionIdleUs(),
+                quarantineMs);
         endpoints = new EndpointListAdapter(config, loop, balancer, pool);
         dispatcher = new RequestDispatcher(balancer, pool, endpoints, metrics);
         balancer.setBalancer(new WeightedTwoChoicesLoadBalancer(settings, config.seed(), dispatcher));
         frontend = new HttpFrontend(
-                loop, descriptors, new ClientRequestParser(settings), lifecycle, metrics, dispatcher::accept);
+                loop,
+                descriptors,
+                streamMemory,
+                new ClientRequestParser(settings),
+                lifecycle,
+                metrics,
+                dispatcher::accept);
     }
 
     /**
--- a/node/src/main/java/tansypass/node/upstream/UpstreamConnection.java
+++ b/node/src/main/java/tansypass/node/upstream/UpstreamConnection.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.util.ReferenceCountUtil;
+import tansypass.node.http.StreamMemoryLimiter;
 
 /**
  * One connection to a server, which is idle or carries one attempt. Its {@link UpstreamExchange} writes the request and
@@ -22,11 +23,11 @@
     private long idleSinceNanos;
 
     /** Creates the connection of a channel that is about to connect, with the server's current generation. */
-    UpstreamConnection(UpstreamServer server, int generation, Channel channel) {
+    UpstreamConnection(UpstreamServer server, int generation, Channel channel, StreamMemoryLimiter memoryLimiter) {
         this.server = server;
         this.generation = generation;
         this.channel = channel;
-        exchange = new UpstreamExchange(channel, server.loop(), this);
+        exchange = new UpstreamExchange(channel, server.loop(), memoryLimiter, this);
     }
 
     /** Called when the connection has been established and is available for attempts. */
@@ -46,6 +47,11 @@
         return exchange.isActive();
     }
 
+    /** Returns whether the response is being relayed as it arrives. */
+    boolean isRelaying() {
+        return exchange.isRelaying();
+    }
+
     /** Returns the {@link System#nanoTime} at which the connection became idle. */
     long idleSinceNanos() {
         return idleSinceNanos;
--- a/node/src/main/java/tansypass/node/upstream/UpstreamConnectionPool.java
+++ b/node/src/main/java/tansypass/node/upstream/UpstreamConnectionPool.java
@@ -1,7 +1,6 @@
 package tansypass.node.upstream;
 
 import io.netty.bootstrap.Bootstrap;
-import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -19,6 +18,9 @@
 import tansypass.node.endpoint.EndpointList;
 import tansypass.node.http.ConnectionBufferLimits;
 import tansypass.node.http.ResponseDecoder;
+import tansypass.node.http.SparseReadCompactor;
+import tansypass.node.http.StreamMemoryLimiter;
+import tansypass.node.http.StreamReceiveAllocator;
 import tansypass.node.lifecycle.DescriptorLimiter;
 
 /**
@@ -41,6 +43,7 @@
 
     private final EventLoop loop;
     private final DescriptorLimiter descriptors;
+    private final StreamMemoryLimiter memoryLimiter;
     private final int connectTimeoutMs;
     private final Bootstrap bootstrap;
     private final long idleTimeoutNanos;
@@ -51,6 +54,7 @@
     /**
      * Creates a pool without servers.
      *
+     * @param memoryLimiter bounds the memory of streamed messages
      * @param connectTimeoutUs the time after which a connect fails, in microseconds
      * @param serverIdleTimeoutUs the time after which servers close an idle connection, in microseconds; the pool
      *     closes it after half of that time
@@ -59,11 +63,13 @@
     public UpstreamConnectionPool(
             EventLoop loop,
             DescriptorLimiter descriptors,
+            StreamMemoryLimiter memoryLimiter,
             long connectTimeoutUs,
             long serverIdleTimeoutUs,
             long quarantineMs) {
         this.loop = loop;
         this.descriptors = descriptors;
+        this.memoryLimiter = memoryLimiter;
         // The pool closes idle connections before the servers do. If a server closes a connection just as a request is
         // written to it, it is unknown whether the request was executed.
         idleTimeoutNanos = TimeUnit.MICROSECONDS.toNanos(serverIdleTimeoutUs) / 2;
@@ -75,12 +81,7 @@
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMs)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.WRITE_BUFFER_WATER_MARK, ConnectionBufferLimits.WATER_MARK)
-                .option(
-                        ChannelOption.RECVBUF_ALLOCATOR,
-                        new AdaptiveRecvByteBufAllocator(
-                                ConnectionBufferLimits.MIN_READ_BYTES,
-                                ConnectionBufferLimits.INITIAL_READ_BYTES,
-                                ConnectionBufferLimits.MAX_READ_BYTES));
+                .option(ChannelOption.RECVBUF_ALLOCATOR, new StreamReceiveAllocator(memoryLimiter));
         descriptors.setServerCallback(this::closeOldestIdle);
         idleCheckTimer = loop.scheduleWithFixedDelay(
                 this::closeExpiredConnections, IDLE_CHECK_INTERVAL_MS, IDLE_CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
@@ -161,7 +162,7 @@
             return;
         }
         channel.closeFuture().addListener(closed -> descriptors.removeServer());
-        UpstreamConnection connection = new UpstreamConnection(server, generation, channel);
+        UpstreamConnection connection = new UpstreamConnection(server, generation, channel, memoryLimiter);
         bootstrap
                 .clone()
                 .channelFactory(() -> channel)
@@ -214,6 +215,7 @@
             channel.pipeline()
                     .addLast(
                             new UnsolicitedDataHandler(connection),
+                            new SparseReadCompactor(connection::isRelaying),
                             new HttpRequestEncoder(),
                             new ResponseDecoder(MAX_STATUS_LINE_BYTES, MAX_HEADER_BYTES),
                             connection);
--- a/node/src/main/java/tansypass/node/upstream/UpstreamExchange.java
+++ b/node/src/main/java/tansypass/node/upstream/UpstreamExchange.java
@@ -13,6 +13,8 @@
 import tansypass.node.http.RequestBodyWriter;
 import tansypass.node.http.ResponseBodySink;
 import tansypass.node.http.ResponseReader;
+import tansypass.node.http.StreamMemoryLimiter;
+import tansypass.node.http.StreamWindow;
 import tansypass.node.http.UpstreamResponse;
 
 /**
@@ -45,6 +47,8 @@
     private final EventLoop loop;
     private final Listener listener;
     private final ProgressTimeout stallTimeout;
+    /** The window for the bodies of requests. */
+    private final StreamWindow window;
     /** The attempt in flight; null while the connection is idle. */
     private UpstreamAttempt attempt;
 
@@ -63,10 +67,11 @@
     private ScheduledFuture<?> bufferingTimer;
 
     /** Creates the object for the exchanges on a channel. None is in progress. */
-    UpstreamExchange(Channel channel, EventLoop loop, Listener listener) {
+    UpstreamExchange(Channel channel, EventLoop loop, StreamMemoryLimiter memoryLimiter, Listener listener) {
         this.channel = channel;
         this.loop = loop;
         this.listener = listener;
+        window = new StreamWindow(channel, memoryLimiter);
         stallTimeout = new ProgressTimeout(loop, this::onStall);
     }
 
@@ -75,6 +80,11 @@
         return attempt != null;
     }
 
+    /** Returns whether a response is being relayed as it arrives. */
+    boolean isRelaying() {
+        return attempt != null && response.isStreaming();
+    }
+
     /** Starts an exchange by writing the attempt's request. No exchange may be in progress. */
     void start(UpstreamAttempt newAttempt) {
         attempt = newAttempt;
@@ -90,6 +100,7 @@
         channel.write(message);
         bodyWriter = new RequestBodyWriter(
                 channel,
+                window,
                 newAttempt.handler().requestBody(),
                 stallTimeout,
                 lastWrite -> reportWhenWritten(newAttempt, lastWrite));
@@ -102,6 +113,7 @@
     private void reportWhenWritten(UpstreamAttempt writtenAttempt, ChannelFuture lastWrite) {
         stopTimers();
         lastWrite.addListener(done -> {
+            window.updateUsage();
             if (attempt != writtenAttempt) {
                 return;
             }
@@ -130,6 +142,7 @@
 
     /** Continues to write the request's body if the channel is writable again. */
     void onWritabilityChanged() {
+        window.updateUsage();
         if (bodyWriter != null && channel.isWritable()) {
             bodyWriter.writeAvailable();
         }
@@ -245,7 +258,7 @@
     void onReadComplete() {
         if (unreportedResult != null) {
             reportResponse();
-        } else if (attempt != null && response.isStreaming()) {
+        } else if (isRelaying()) {
             response.sinkOrNull().flush();
         }
     }
@@ -280,6 +293,7 @@
 
     /** Ends the exchange, if any, because the channel has ended. A complete response is still reported. */
     void onChannelEnd() {
+        window.updateUsage();
         if (unreportedResult != null) {
             reusable = false;
             reportResponse();
--- a/node/src/test/java/tansypass/node/ExternalNamesTest.java
+++ b/node/src/test/java/tansypass/node/ExternalNamesTest.java
@@ -181,7 +181,13 @@
                     NodeConfigJsonReader.read(Fixture.createConfig(discovery).toString(), Map.of())
                             .settings());
             HttpFrontend frontend = new HttpFrontend(
-                    loop, new DescriptorLimiter(1_024), parser, new Lifecycle(), metrics, dispatcher::accept);
+                    loop,
+                    new DescriptorLimiter(1_024),
+                    Fixture.newStreamMemoryLimiter(),
+                    parser,
+                    new Lifecycle(),
+                    metrics,
+                    dispatcher::accept);
             for (long requestId : requestIds) {
                 client = new EmbeddedChannel();
                 frontend.addClientHandlers(client.pipeline());
@@ -232,6 +238,7 @@
             HttpFrontend frontend = new HttpFrontend(
                     channel.eventLoop(),
                     new DescriptorLimiter(1_024),
+                    Fixture.newStreamMemoryLimiter(),
                     new ClientRequestParser(config.settings()),
                     new Lifecycle(),
                     new NodeMetrics(List.of("view", "photo", "order", "slow")),
--- a/node/src/test/java/tansypass/node/Fixture.java
+++ b/node/src/test/java/tansypass/node/Fixture.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.TimeUnit;
 import tansypass.node.configuration.InvalidNodeConfigException;
 import tansypass.node.configuration.NodeConfig;
+import tansypass.node.http.StreamMemoryLimiter;
 import tansypass.platform.EnvironmentConfigSource;
 
 /** Creates configurations, requests, endpoint lists and connections for the tests. */
@@ -38,8 +39,16 @@
     /** Responds to each request at once, with status 200. */
     static final FakePeer.Script RESPOND_OK = FakePeer.respondWith("200 OK", "", "done");
 
+    private static final long DIRECT_MEMORY_BYTES = 24 << 20;
+    private static final int MAX_STREAMS = 341;
+
     private Fixture() {}
 
+    /** Creates a limiter for as much direct memory as a node on the platform has. */
+    static StreamMemoryLimiter newStreamMemoryLimiter() {
+        return new StreamMemoryLimiter(DIRECT_MEMORY_BYTES, MAX_STREAMS);
+    }
+
     /** Connects to a port on loopback. A read from the socket times out after {@link FakePeer#AWAIT_TIMEOUT_S}. */
     public static Socket connect(int port) throws IOException {
         Socket socket = new Socket(InetAddress.getLoopbackAddress(), port);
--- /dev/null
+++ b/node/src/test/java/tansypass/node/SlowClientsMemoryTest.java
@@ -0,0 +1,147 @@
+package tansypass.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.google.gson.JsonObject;
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.Collectors;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Clients that read nothing of long messages, on a node whose direct memory could not hold all their full windows. */
+@Timeout(120)
+class SlowClientsMemoryTest extends ReservedPortTestBase {
+    /** The clients' full windows need 96 KiB each, which is more than this together. */
+    private static final int DIRECT_MEMORY_MB = 8;
+
+    private static final int SLOW_CLIENTS = 160;
+    /** Allows 170 clients. */
+    private static final int DESCRIPTORS = 512;
+    /** More than the sockets' buffers hold between the web server and a client. */
+    private static final int LONG_BYTES = 16 << 20;
+
+    private static final int RECEIVE_BUFFER_BYTES = 4_096;
+    private static final int SHORT_REQUESTS = 30;
+    /** The platform prices memory above this share of a limit. */
+    private static final double MAX_MEMORY_SHARE = 0.9;
+
+    private final List<Socket> slowClients = new ArrayList<>();
+    /** Bytes of long responses that the web server has written; constant once all buffers are full. */
+    private final AtomicLong writtenBytes = new AtomicLong();
+
+    private ChildNodeProcess process;
+    private int adminPort;
+
+    @BeforeEach
+    void startNode() throws Exception {
+        server.setScript((socket, request) -> {
+            if (request.startsWith("GET /view?long")) {
+                FakePeer.write(socket, "HTTP/1.1 200 OK\r\nContent-Length: " + LONG_BYTES + "\r\n\r\n");
+                for (int written = 0; written < LONG_BYTES; written += HttpStreams.LENGTH) {
+                    HttpStreams.write(socket, 0, HttpStreams.LENGTH);
+                    writtenBytes.addAndGet(HttpStreams.LENGTH);
+                }
+            } else {
+                Fixture.RESPOND_OK.run(socket, request);
+            }
+        });
+        JsonObject config = createConfig();
+        config.getAsJsonObject("limits").addProperty("sockets", DESCRIPTORS);
+        try (ServerSocket unused = new ServerSocket(0)) {
+            adminPort = unused.getLocalPort();
+        }
+        config.addProperty("admin", "127.0.0.1:" + adminPort);
+        process = new ChildNodeProcess(
+                Main.class,
+                Fixture.writeConfigFile(config).toString(),
+                "export JAVA_TOOL_OPTIONS=-XX:MaxDirectMemorySize=" + DIRECT_MEMORY_MB + "m; ");
+        awaitListening();
+        // The first responses raise the load balancer's limit of concurrent requests.
+        for (int i = 0; i < SHORT_REQUESTS; i++) {
+            assertServed(i);
+        }
+    }
+
+    @AfterEach
+    void closeClientsAndNode() throws Exception {
+        for (Socket client : slowClients) {
+            client.close();
+        }
+        process.kill();
+    }
+
+    private void awaitListening() throws IOException {
+        long deadlineNs = System.nanoTime() + TimeUnit.SECONDS.toNanos(FakePeer.AWAIT_TIMEOUT_S);
+        while (true) {
+            try {
+                connect().close();
+                return;
+            } catch (ConnectException e) {
+                assertTrue(
+                        process.isAlive() && System.nanoTime() < deadlineNs,
+                        () -> "not listening; it printed: " + process.killAndReadOutput());
+            }
+        }
+    }
+
+    /** Guards against direct memory that is used up by slow readers, at which the event loop stands still. */
+    @Test
+    void servesOthersWhileManyClientsReadNothingOfLongResponses() throws Exception {
+        for (int i = 0; i < SLOW_CLIENTS; i++) {
+            Socket slow = new Socket();
+            slowClients.add(slow);
+            slow.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
+            slow.setSoTimeout((int) TimeUnit.SECONDS.toMillis(FakePeer.AWAIT_TIMEOUT_S));
+            slow.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
+            FakePeer.write(slow, Fixture.formatRequest("GET", "/view?long", 1_000 + i, "", ""));
+            String head = HttpStreams.readHead(slow);
+            assertTrue(head.startsWith("HTTP/1.1 200"), head);
+        }
+        awaitFullBuffers();
+        Map<String, Long> metrics = readMetrics();
+        assertEquals(SLOW_CLIENTS, metrics.get("node.in_flight"), () -> "relayed responses: " + metrics);
+        assertEquals(0, metrics.get("node.requests.view.failed"), () -> "broken off: " + metrics);
+        long limit = metrics.get("node.direct_memory_limit_bytes");
+        assertTrue(metrics.get("node.direct_memory_bytes") <= limit * MAX_MEMORY_SHARE, () -> "exhausted: " + metrics);
+    }
+
+    /** Waits until the web server can't write any more. Meanwhile the node responds to requests for itself. */
+    private void awaitFullBuffers() throws IOException {
+        try (Socket client = connect()) {
+            long writtenBefore;
+            do {
+                writtenBefore = writtenBytes.get();
+                long endNs = System.nanoTime() + TimeUnit.SECONDS.toNanos(1);
+                while (System.nanoTime() < endNs) {
+                    FakePeer.write(client, "GET /ready HTTP/1.1\r\nHost: n0\r\n\r\n");
+                    String response = FakePeer.readMessage(client);
+                    assertTrue(response != null && response.startsWith("HTTP/1.1 200"), response);
+                }
+            } while (writtenBytes.get() != writtenBefore);
+        }
+    }
+
+    private Map<String, Long> readMetrics() throws IOException {
+        try (Socket admin = Fixture.connect(adminPort)) {
+            FakePeer.write(admin, "GET /_vars HTTP/1.1\r\nHost: n0\r\n\r\n");
+            String response = FakePeer.readMessage(admin);
+            return response.lines()
+                    .filter(line -> line.startsWith("node."))
+                    .map(line -> line.split("="))
+                    .collect(Collectors.toMap(field -> field[0], field -> Long.valueOf(field[1])));
+        }
+    }
+}
--- a/node/src/test/java/tansypass/node/StreamedResponseTest.java
+++ b/node/src/test/java/tansypass/node/StreamedResponseTest.java
@@ -320,6 +320,7 @@
                 .submit(() -> new UpstreamConnectionPool(
                         node.loop,
                         new DescriptorLimiter(1_024),
+                        Fixture.newStreamMemoryLimiter(),
                         300_000,
                         60_000_000,
                         UpstreamConnectionPool.QUARANTINE_MS))
--- a/node/src/test/java/tansypass/node/upstream/UpstreamTestBase.java
+++ b/node/src/test/java/tansypass/node/upstream/UpstreamTestBase.java
@@ -20,6 +20,7 @@
 import tansypass.node.FakePeer;
 import tansypass.node.TestEventLoopGroup;
 import tansypass.node.endpoint.EndpointList;
+import tansypass.node.http.StreamMemoryLimiter;
 import tansypass.node.http.UpstreamResponse;
 import tansypass.node.lifecycle.DescriptorLimiter;
 import tansypass.platform.EndpointListJsonReader;
@@ -28,6 +29,7 @@
 /** Opens a connection pool to one scripted web server, and records the results of attempts. */
 abstract class UpstreamTestBase {
     static final long IDLE_US = 60_000_000;
+    private static final long DIRECT_MEMORY_BYTES = 24 << 20;
 
     private EventLoopGroup group;
     EventLoop loop;
@@ -87,8 +89,13 @@
     final UpstreamConnectionPool openPool(String address, long connectTimeoutUs, long idleUs, long quarantineMs)
             throws Exception {
         DescriptorLimiter sockets = new DescriptorLimiter(1_024);
-        UpstreamConnectionPool pool = loop.submit(
-                        () -> new UpstreamConnectionPool(loop, sockets, connectTimeoutUs, idleUs, quarantineMs))
+        UpstreamConnectionPool pool = loop.submit(() -> new UpstreamConnectionPool(
+                        loop,
+                        sockets,
+                        new StreamMemoryLimiter(DIRECT_MEMORY_BYTES, sockets.maxClients()),
+                        connectTimeoutUs,
+                        idleUs,
+                        quarantineMs))
                 .get();
         updateEndpoint(pool, address, 0);
         return pool;
