Count the streamed messages that the node breaks off, by reason

Three rules of the node can do that: the client accepts nothing for 10 s, the web server sends nothing for 2.5 s, or the response is too slow or too long after its deadline. All three looked alike: a reset, and one more request counted as failed.

Change: node.aborted.client_stalled, .web_server_stalled and .response_too_slow in /_vars, and tansypass_aborted_total{reason} in /metrics.

--- a/cli/src/main/java/tansypass/cli/MetricsPage.java
+++ b/cli/src/main/java/tansypass/cli/MetricsPage.java
@@ -27,12 +27,15 @@
 
     private static final double MICROS_PER_SECOND = 1e6;
 
+    private static final String ABORT_METRIC_PREFIX = "node.aborted.";
+
     private final PrometheusRegistry registry = new PrometheusRegistry();
     private Map<String, Long> nodeMetrics = Map.of();
 
     /** Creates the page of a node; {@code member} is null for a node that is not a member of a cluster. */
     MetricsPage(ClusterMember member) {
         addRequestMetrics();
+        addAbortMetrics();
         CounterWithCallback.builder()
                 .name("tansypass_log_lines_dropped_total")
                 .help("Lines of the log that found its queue full.")
@@ -74,6 +77,19 @@
                 .register(registry);
     }
 
+    private void addAbortMetrics() {
+        CounterWithCallback.builder()
+                .name("tansypass_aborted_total")
+                .labelNames("reason")
+                .help("Streamed messages that the node broke off, by reason.")
+                .callback(metric -> nodeMetrics.forEach((name, value) -> {
+                    if (name.startsWith(ABORT_METRIC_PREFIX)) {
+                        metric.call(value, name.substring(ABORT_METRIC_PREFIX.length()));
+                    }
+                }))
+                .register(registry);
+    }
+
     private void addClusterMetrics(ClusterMember member) {
         CounterWithCallback.builder()
                 .name("tansypass_membership_events_total")
--- a/node/src/main/java/tansypass/node/admin/NodeMetrics.java
+++ b/node/src/main/java/tansypass/node/admin/NodeMetrics.java
@@ -29,6 +29,17 @@
         }
     }
 
+    /** Why the node has ended an exchange whose long body was being streamed. {@link #format} has the external names. */
+    public enum AbortReason {
+        /** The client has accepted nothing of the response for too long. */
+        CLIENT_STALLED,
+        /** The server has accepted nothing of the request, or sent nothing of the response, for too long. */
+        SERVER_STALLED,
+        /** The server has sent the response below the lowest accepted rate, or too much of it. */
+        RESPONSE_TOO_SLOW
+    }
+
+    private static final AbortReason[] ABORT_REASONS = AbortReason.values();
     private static final Outcome[] OUTCOMES = Outcome.values();
 
     private final List<String> classNames;
@@ -36,6 +47,7 @@
     private final AtomicLong attempts = new AtomicLong();
     private final AtomicLong inFlight = new AtomicLong();
     private final AtomicLong abandoned = new AtomicLong();
+    private final AtomicLongArray aborts = new AtomicLongArray(ABORT_REASONS.length);
     private final LongSupplier directMemory;
     private final long directMemoryLimit;
     private volatile long maxEventLoopBusyMs;
@@ -85,6 +97,11 @@
         abandoned.getAndIncrement();
     }
 
+    /** Records that the node has ended an exchange while a long body was being streamed. */
+    public void recordAbort(AbortReason reason) {
+        aborts.getAndIncrement(reason.ordinal());
+    }
+
     /** Sets the number of servers on the endpoint list, and the number of those that are excluded at present. */
     public void setServerCounts(int known, int excluded) {
         knownServers = known;
@@ -112,6 +129,9 @@
         appendLine(text, "abandoned", abandoned.get());
         appendLine(text, "web_servers_known", knownServers);
         appendLine(text, "web_servers_excluded", excludedServers);
+        for (AbortReason reason : ABORT_REASONS) {
+            appendLine(text, "aborted." + externalName(reason), aborts.get(reason.ordinal()));
+        }
         appendLine(text, "direct_memory_bytes", directMemory.getAsLong());
         appendLine(text, "direct_memory_limit_bytes", directMemoryLimit);
         appendLine(text, "event_loop_busy_max_ms", maxEventLoopBusyMs);
@@ -126,6 +146,14 @@
         };
     }
 
+    private static String externalName(AbortReason reason) {
+        return switch (reason) {
+            case CLIENT_STALLED -> "client_stalled";
+            case SERVER_STALLED -> "web_server_stalled";
+            case RESPONSE_TOO_SLOW -> "response_too_slow";
+        };
+    }
+
     private static void appendLine(StringBuilder text, String name, long value) {
         text.append("node.").append(name).append('=').append(value).append('\n');
     }
--- a/node/src/main/java/tansypass/node/request/InFlightRequest.java
+++ b/node/src/main/java/tansypass/node/request/InFlightRequest.java
@@ -222,8 +222,15 @@
         return sink;
     }
 
+    @Override
+    public void onAttemptStalled(boolean waitingForClient) {
+        metrics.recordAbort(
+                waitingForClient ? NodeMetrics.AbortReason.CLIENT_STALLED : NodeMetrics.AbortReason.SERVER_STALLED);
+    }
+
     @Override
     public void onResponseTooSlow() {
+        metrics.recordAbort(NodeMetrics.AbortReason.RESPONSE_TOO_SLOW);
         exchange.abort();
         end();
         notifyResponseNotNeeded();
--- a/node/src/main/java/tansypass/node/request/RequestAttempt.java
+++ b/node/src/main/java/tansypass/node/request/RequestAttempt.java
@@ -34,6 +34,9 @@
          */
         ResponseBodySink startResponse(int attempt, String contentType, long length, Runnable whenWritable);
 
+        /** Called before the end of an attempt that is aborted because the client or the server makes no progress. */
+        void onAttemptStalled(boolean waitingForClient);
+
         /**
          * Called once, when the attempt ends, before the load balancer is notified.
          *
@@ -146,6 +149,11 @@
         return listener.startResponse(number, contentType, length, whenWritable);
     }
 
+    @Override
+    public void onStalled(boolean waitingForClient) {
+        listener.onAttemptStalled(waitingForClient);
+    }
+
     @Override
     public void onAttemptEnded(AttemptResult result, UpstreamResponse response) {
         ended = true;
--- a/node/src/main/java/tansypass/node/upstream/AttemptHandler.java
+++ b/node/src/main/java/tansypass/node/upstream/AttemptHandler.java
@@ -49,6 +49,13 @@
         return ResponseBodySink.DISCARDING;
     }
 
+    /**
+     * Called before the end of an attempt that is aborted because a peer has made no progress for too long.
+     *
+     * @param waitingForClient whether the client accepted no more of the response; otherwise the server made no progress
+     */
+    default void onStalled(boolean waitingForClient) {}
+
     /**
      * Called exactly once, when the attempt ends.
      *
--- a/node/src/main/java/tansypass/node/upstream/UpstreamExchange.java
+++ b/node/src/main/java/tansypass/node/upstream/UpstreamExchange.java
@@ -238,6 +238,7 @@
             // rate.
             stallTimeout.start(UpstreamConnectionPool.STALL_TIMEOUT_MS);
         } else {
+            attempt.handler().onStalled(!channel.config().isAutoRead());
             attempt.abort(AttemptResult.TIMEOUT);
         }
     }
--- a/node/src/test/java/tansypass/node/MetricsAndDrainingTest.java
+++ b/node/src/test/java/tansypass/node/MetricsAndDrainingTest.java
@@ -69,23 +69,23 @@
         return Integer.parseInt(response.substring(9, 12));
     }
 
-    private Map<String, Integer> readMetrics() throws Exception {
+    private Map<String, Long> readMetrics() throws Exception {
         String response = callAdmin("GET", "/_vars");
         return response.substring(response.indexOf("\r\n\r\n") + 4)
                 .lines()
                 .map(l -> l.split("="))
-                .collect(Collectors.toMap(l -> l[0], l -> Integer.valueOf(l[1])));
+                .collect(Collectors.toMap(l -> l[0], l -> Long.valueOf(l[1])));
     }
 
     /** Waits until a metric has a value. Needed because a client receives its response shortly before it is counted. */
-    private void awaitMetric(String name, int expected) throws Exception {
+    private void awaitMetric(String name, long expected) throws Exception {
         awaitValue(expected, () -> readMetrics().get(name), name);
     }
 
     /** Polls a value until it is as expected. Fails after {@link FakePeer#AWAIT_TIMEOUT_S}. */
-    private static void awaitValue(int expected, Callable<Integer> actual, String name) throws Exception {
+    private static void awaitValue(long expected, Callable<Long> actual, String name) throws Exception {
         long deadlineNs = System.nanoTime() + TimeUnit.SECONDS.toNanos(FakePeer.AWAIT_TIMEOUT_S);
-        int lastValue = actual.call();
+        long lastValue = actual.call();
         while (lastValue != expected && System.nanoTime() < deadlineNs) {
             Thread.onSpinWait();
             lastValue = actual.call();
@@ -122,20 +122,20 @@
         awaitMetric("node.requests.order.failed", 2);
         awaitMetric("node.in_flight", 0);
         try (Socket client = node.connect()) {
-            int attemptsBefore = readMetrics().get("node.attempts");
+            long attemptsBefore = readMetrics().get("node.attempts");
             FakePeer.write(client, Fixture.formatRequest("POST", "/slow", 6, "", "x"));
             awaitMetric("node.in_flight", 1);
             awaitMetric("node.attempts", attemptsBefore + 1);
         }
         awaitMetric("node.in_flight", 0);
-        Map<String, Integer> metrics = readMetrics();
+        Map<String, Long> metrics = readMetrics();
         assertEquals(1, metrics.get("node.requests.view.served"));
         assertEquals(1, metrics.get("node.requests.view.refused"));
         assertEquals(0, metrics.get("node.requests.view.failed"));
         assertEquals(0, metrics.get("node.requests.order.served"));
         assertEquals(0, metrics.get("node.requests.slow.served"));
         // The server may read a request shortly after the node has written it.
-        awaitValue(metrics.get("node.attempts"), server.requests::size, "requests received");
+        awaitValue(metrics.get("node.attempts"), () -> (long) server.requests.size(), "requests received");
         assertEquals(1, metrics.get("node.web_servers_known"));
     }
 
--- a/node/src/test/java/tansypass/node/admin/AdminServerTest.java
+++ b/node/src/test/java/tansypass/node/admin/AdminServerTest.java
@@ -154,6 +154,9 @@
         nodeMetrics.recordAttempt();
         nodeMetrics.recordAbandoned();
         nodeMetrics.setServerCounts(12, 3);
+        nodeMetrics.recordAbort(NodeMetrics.AbortReason.CLIENT_STALLED);
+        nodeMetrics.recordAbort(NodeMetrics.AbortReason.SERVER_STALLED);
+        nodeMetrics.recordAbort(NodeMetrics.AbortReason.SERVER_STALLED);
         nodeMetrics.recordEventLoopBusy(7);
         nodeMetrics.recordEventLoopBusy(2);
         String response = call("GET /_vars HTTP/1.1\r\n\r\n");
@@ -169,6 +172,9 @@
                 node.abandoned=1
                 node.web_servers_known=12
                 node.web_servers_excluded=3
+                node.aborted.client_stalled=1
+                node.aborted.web_server_stalled=2
+                node.aborted.response_too_slow=0
                 node.direct_memory_bytes=5
                 node.direct_memory_limit_bytes=8
                 node.event_loop_busy_max_ms=7
