--- a/node/src/main/java/tansypass/node/frontend/ResponseStream.java
+++ b/node/src/main/java/tansypass/node/frontend/ResponseStream.java
@@ -46,6 +46,11 @@
         return writer.isWritable();
     }
 
+    @Override
+    public boolean hasAdvanced() {
+        return writer.hasAdvanced();
+    }
+
     @Override
     public void finish() {
         if (writer.isStreaming()) {
--- a/node/src/main/java/tansypass/node/frontend/ResponseWriter.java
+++ b/node/src/main/java/tansypass/node/frontend/ResponseWriter.java
@@ -119,6 +119,11 @@
         return channel.isWritable();
     }
 
+    /** Attempts to write what waits for the client, and returns whether it has accepted any since the last call. */
+    boolean hasAdvanced() {
+        return window.hasAdvanced();
+    }
+
     /** Notifies the source of the streamed response if the channel accepts more data. */
     void onWritabilityChanged() {
         window.updateUsage();
--- a/node/src/main/java/tansypass/node/http/ResponseBodySink.java
+++ b/node/src/main/java/tansypass/node/http/ResponseBodySink.java
@@ -19,6 +19,11 @@
             return true;
         }
 
+        @Override
+        public boolean hasAdvanced() {
+            return false;
+        }
+
         @Override
         public void finish() {}
     };
@@ -34,6 +39,11 @@
      */
     boolean isWritable();
 
+    /**
+     * Attempts to pass on what waits for the receiver, and returns whether it has accepted anything since the last call.
+     */
+    boolean hasAdvanced();
+
     /** Marks the response as complete. */
     void finish();
 }
--- a/node/src/main/java/tansypass/node/http/StreamWindow.java
+++ b/node/src/main/java/tansypass/node/http/StreamWindow.java
@@ -3,6 +3,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.nio.AbstractNioChannel;
 
 /**
  * The bytes that wait in a connection's write buffer until the receiver accepts them. The window tells the limiter
@@ -13,6 +14,11 @@
     private final Channel channel;
     private final StreamMemoryLimiter limiter;
     private long countedBytes;
+    /** What was waiting at the last call of {@link #hasAdvanced}. */
+    private int firstMessageIdentity;
+
+    private long firstMessageProgress;
+    private long waitingBytes;
 
     /** Creates the window of a connection on which nothing waits. */
     public StreamWindow(Channel channel, StreamMemoryLimiter limiter) {
@@ -35,8 +41,32 @@
      */
     public void updateUsage() {
         ChannelOutboundBuffer buffer = channel.unsafe().outboundBuffer();
-        long waitingBytes = buffer == null ? 0 : buffer.totalPendingWriteBytes();
-        limiter.add(waitingBytes - countedBytes);
-        countedBytes = waitingBytes;
+        long uncountedBytes = (buffer == null ? 0 : buffer.totalPendingWriteBytes()) - countedBytes;
+        limiter.add(uncountedBytes);
+        countedBytes += uncountedBytes;
+    }
+
+    /**
+     * Attempts to write what waits, and returns whether any of it has been written since the last call. The attempt is
+     * needed because the kernel reports a socket as writable only when a third of its send buffer is free. That buffer
+     * may hold megabytes, and a receiver that reads 64 kB a second takes longer for a third of it than a timeout lasts.
+     */
+    public boolean hasAdvanced() {
+        if (channel.unsafe() instanceof AbstractNioChannel.NioUnsafe unsafe) {
+            unsafe.forceFlush();
+        }
+        ChannelOutboundBuffer buffer = channel.unsafe().outboundBuffer();
+        if (buffer == null) {
+            return false;
+        }
+        int identity = System.identityHashCode(buffer.current());
+        long progress = buffer.currentProgress();
+        long waiting = buffer.totalPendingWriteBytes();
+        boolean advanced =
+                identity != firstMessageIdentity || progress != firstMessageProgress || waiting < waitingBytes;
+        firstMessageIdentity = identity;
+        firstMessageProgress = progress;
+        waitingBytes = waiting;
+        return advanced;
     }
 }
--- a/node/src/main/java/tansypass/node/upstream/UpstreamExchange.java
+++ b/node/src/main/java/tansypass/node/upstream/UpstreamExchange.java
@@ -26,7 +26,7 @@
     /** The time for which a response of unknown length is buffered before it is relayed, because it may be short. Also
      * the time to wait for the body of a rejection or an error; without the body the connection cannot be reused. */
     private static final long BUFFERING_TIMEOUT_MS = 50;
-    /** The stall timeout while nothing is read from the server, because the client does not read. */
+    /** The stall timeout while nothing is read from the server, because the client accepts nothing. */
     private static final long CLIENT_STALL_TIMEOUT_MS = 10_000;
 
     /** Receives the end of exchanges; implemented by the connection. */
@@ -58,6 +58,9 @@
     private RequestBodyWriter bodyWriter;
 
     private ResponseReader response;
+    /** True while nothing is read from the server until the client accepts more. */
+    private boolean waitingForClient;
+
     /** The result of a response that is complete but not yet reported; null otherwise. */
     private AttemptResult unreportedResult;
 
@@ -72,7 +75,7 @@
         this.loop = loop;
         this.listener = listener;
         window = new StreamWindow(channel, memoryLimiter);
-        stallTimeout = new ProgressTimeout(loop, this::onStall);
+        stallTimeout = new ProgressTimeout(loop, this::hasReceiverAdvanced, this::onStall);
     }
 
     /** Returns whether an exchange is in progress. */
@@ -90,6 +93,7 @@
         attempt = newAttempt;
         requestWritten = false;
         bodyWriter = null;
+        waitingForClient = false;
         response = new ResponseReader();
         unreportedResult = null;
         HttpRequest message = newAttempt.handler().createMessage();
@@ -222,23 +226,33 @@
 
     private void pauseReadingIfFull() {
         if (!response.sinkOrNull().isWritable()) {
+            waitingForClient = true;
             channel.config().setAutoRead(false);
             stallTimeout.changeTimeout(CLIENT_STALL_TIMEOUT_MS);
         }
     }
 
     private void resumeReading() {
+        waitingForClient = false;
         stallTimeout.changeTimeout(UpstreamConnectionPool.STALL_TIMEOUT_MS);
         channel.config().setAutoRead(true);
     }
 
+    /** Returns whether the side that has to accept bytes has done so since the last call. */
+    private boolean hasReceiverAdvanced() {
+        if (waitingForClient) {
+            return response.sinkOrNull().hasAdvanced();
+        }
+        return bodyWriter != null && !requestWritten && window.hasAdvanced();
+    }
+
     private void onStall() {
         if (bodyWriter != null && !requestWritten && channel.isWritable()) {
             // The server accepts more, but the client has sent no more of the body. The frontend checks the client's
             // rate.
             stallTimeout.start(UpstreamConnectionPool.STALL_TIMEOUT_MS);
         } else {
-            attempt.handler().onStalled(!channel.config().isAutoRead());
+            attempt.handler().onStalled(waitingForClient);
             attempt.abort(AttemptResult.TIMEOUT);
         }
     }
--- a/node/src/test/java/tansypass/node/StreamedRequestTest.java
+++ b/node/src/test/java/tansypass/node/StreamedRequestTest.java
@@ -19,11 +19,18 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import tansypass.node.upstream.UpstreamConnectionPool;
 
 /** Requests that are forwarded while they are received. The test itself accepts and reads the node's connections. */
 @Timeout(120)
 class StreamedRequestTest extends RunningNodeTestBase {
     private static final int LENGTH = HttpStreams.LENGTH;
+    /** More than the sockets' buffers hold between a client and the web server. */
+    private static final int LONG_BYTES = 32 << 20;
+    /** At this rate a third of a socket's largest send buffer lasts longer than the timeout of a web server. */
+    private static final int SLOW_READ_BYTES = 64 * 1024;
+
+    private static final int SLOW_READ_INTERVAL_MS = 250;
     private static final byte[] BODY = HttpStreams.body();
     private static final String RESPONSE = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone";
 
@@ -84,6 +91,37 @@
         return attemptSocket;
     }
 
+    /** Guards against an upload that is broken off after 2.5 s although its web server reads some of it all the time. */
+    @Test
+    void waitsForServerThatReadsRequestSlowerThanItsConnectionBecomesWritable() throws Exception {
+        startNode(1);
+        FakePeer.write(client, formatHead(1, LONG_BYTES));
+        Thread sender = new Thread(() -> {
+            try {
+                client.getOutputStream().write(new byte[LONG_BYTES]);
+            } catch (IOException e) {
+                // The node has broken off the upload, which the test sees at the server.
+                return;
+            }
+        });
+        sender.start();
+        Socket attemptSocket = accept();
+        HttpStreams.readHead(attemptSocket);
+        int readBytes = 0;
+        long slowUntilNs =
+                System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(2 * UpstreamConnectionPool.STALL_TIMEOUT_MS);
+        while (System.nanoTime() < slowUntilNs) {
+            readBytes += attemptSocket.getInputStream().readNBytes(SLOW_READ_BYTES).length;
+            sender.join(SLOW_READ_INTERVAL_MS);
+            assertTrue(sender.isAlive(), "broken off, or read too fast");
+        }
+        assertEquals(0, node.readMetric("aborted.web_server_stalled"));
+        assertEquals(LONG_BYTES - readBytes, attemptSocket.getInputStream().readNBytes(LONG_BYTES - readBytes).length);
+        sender.join();
+        FakePeer.write(attemptSocket, RESPONSE);
+        assertTrue(FakePeer.readMessage(client).endsWith("done"));
+    }
+
     @Test
     void forwardsFirstBytesBeforeRequestIsComplete() throws Exception {
         startNode(1);
--- a/node/src/test/java/tansypass/node/StreamedResponseTest.java
+++ b/node/src/test/java/tansypass/node/StreamedResponseTest.java
@@ -17,6 +17,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.BeforeEach;
@@ -37,6 +38,9 @@
 @Timeout(120)
 class StreamedResponseTest extends RunningNodeTestBase {
     private static final int LENGTH = HttpStreams.LENGTH;
+    /** The time for which a client may accept nothing of a response. */
+    private static final int CLIENT_STALL_TIMEOUT_S = 10;
+
     private static final byte[] BODY = HttpStreams.body();
 
     private Socket client;
@@ -272,6 +276,11 @@
         final CountDownLatch finished = new CountDownLatch(1);
         private volatile Runnable whenWritable;
         private volatile boolean writable;
+        private volatile boolean accepting;
+        /** A permit for each time the sink was asked whether it has accepted anything. */
+        private final Semaphore progressChecks = new Semaphore(0);
+
+        private final CountDownLatch ended = new CountDownLatch(1);
         private final AtomicLong receivedBytes = new AtomicLong();
 
         @Override
@@ -300,18 +309,25 @@
             return writable;
         }
 
+        @Override
+        public boolean hasAdvanced() {
+            progressChecks.release();
+            return accepting;
+        }
+
         @Override
         public void finish() {
             finished.countDown();
         }
 
         @Override
-        public void onAttemptEnded(AttemptResult result, UpstreamResponse response) {}
+        public void onAttemptEnded(AttemptResult result, UpstreamResponse response) {
+            ended.countDown();
+        }
     }
 
-    @Test
-    void stopsReadingFromServerWhileClientIsNotWritable() throws Exception {
-        int length = 8 << 20;
+    /** Starts a response that is longer than the sockets' buffers, and waits for its first bytes. */
+    private PausingSink startLongResponse(int length) throws Exception {
         server.setScript((socket, request) -> {
             FakePeer.write(socket, "HTTP/1.1 200 OK\r\nContent-Length: " + length + "\r\n\r\n");
             socket.getOutputStream().write(new byte[length]);
@@ -330,6 +346,13 @@
         PausingSink sink = new PausingSink();
         node.loop.submit(() -> pool.startAttempt("s-" + server.port(), sink)).get();
         assertTrue(sink.started.await(FakePeer.AWAIT_TIMEOUT_S, TimeUnit.SECONDS));
+        return sink;
+    }
+
+    @Test
+    void stopsReadingFromServerWhileClientIsNotWritable() throws Exception {
+        int length = 8 << 20;
+        PausingSink sink = startLongResponse(length);
         for (int i = 0; i < 100; i++) {
             node.loop.submit(() -> {}).get();
         }
@@ -340,4 +363,16 @@
         assertTrue(sink.finished.await(FakePeer.AWAIT_TIMEOUT_S, TimeUnit.SECONDS), "reading was not resumed");
         assertEquals(length, sink.receivedBytes.get());
     }
+
+    /** Guards against a response that is broken off after 10 s although its client accepts some of it every second. */
+    @Test
+    void waitsForClientThatAcceptsResponseSlowerThanItsConnectionBecomesWritable() throws Exception {
+        int length = 8 << 20;
+        PausingSink sink = startLongResponse(length);
+        sink.accepting = true;
+        assertTrue(sink.progressChecks.tryAcquire(CLIENT_STALL_TIMEOUT_S + 2, 30, TimeUnit.SECONDS));
+        assertEquals(1, sink.ended.getCount(), "broken off");
+        sink.accepting = false;
+        assertTrue(sink.ended.await(CLIENT_STALL_TIMEOUT_S + 10, TimeUnit.SECONDS), "never broken off");
+    }
 }
--- a/node/src/test/java/tansypass/node/http/StreamMemoryLimiterTest.java
+++ b/node/src/test/java/tansypass/node/http/StreamMemoryLimiterTest.java
@@ -95,7 +95,7 @@
             BlockableChannel channel = openChannel();
             RequestBody body = new RequestBody(bodyLimiter);
             bodies.add(body);
-            ProgressTimeout unusedTimeout = new ProgressTimeout(channel.eventLoop(), () -> {});
+            ProgressTimeout unusedTimeout = new ProgressTimeout(channel.eventLoop(), () -> false, () -> {});
             new RequestBodyWriter(channel, new StreamWindow(channel, limiter), body, unusedTimeout, done -> {}).start();
             while (!body.isWindowFull()) {
                 body.add(Unpooled.wrappedBuffer(new byte[DECODED_PART_BYTES]));
