Judge no peer's rate by a time in which the other side was not ready

Need: a long response past its deadline is broken off when it arrives below 16 KiB/s, a request's body likewise (408). That the client (or the web server) was not ready for more was looked at only at the end of the measurement of 2.5 s (0.7 s). If it became ready just before, the peer was judged by a time in which the node itself had not read from it.

Change: a measurement in which the other side was not ready at any time says nothing; the next one counts.

Measured: RateMeasurementTest forces both directions; both rows fail on the code before and pass now.

--- a/node/src/main/java/tansypass/node/frontend/IncomingRequest.java
+++ b/node/src/main/java/tansypass/node/frontend/IncomingRequest.java
@@ -21,6 +21,8 @@
     boolean complete;
     /** True if reading from the client has ever been suspended during this request. */
     boolean readingSuspended;
+    /** True if reading has been suspended since the present measurement started. */
+    private boolean suspendedInWindow;
 
     long receivedBytes;
     private long windowStartBytes;
@@ -31,12 +33,19 @@
         this.head = head;
     }
 
+    /** Records that reading from the client is suspended until the server has accepted more of the body. */
+    void suspendReading() {
+        readingSuspended = true;
+        suspendedInWindow = true;
+    }
+
     /**
      * Returns whether the body has been received below the lowest accepted rate, and starts the next measurement.
-     * While the present measurement is shorter than its window, returns false and continues that measurement.
+     * While the present measurement is shorter than its window, returns false and continues that measurement. The rate
+     * does not depend on the client alone if reading was suspended at any time since the start of the measurement.
      *
      * @param nowNs the present {@link System#nanoTime}
-     * @param reading whether the connection is being read; otherwise the rate does not depend on the client
+     * @param reading whether the connection is being read
      */
     boolean isTooSlow(long nowNs, boolean reading) {
         long elapsedNs = nowNs - windowStartNs;
@@ -44,9 +53,11 @@
             return false;
         }
         boolean slow = reading
+                && !suspendedInWindow
                 && TimeUnit.SECONDS.toNanos(receivedBytes - windowStartBytes) < MIN_BYTES_PER_SECOND * elapsedNs;
         windowStartBytes = receivedBytes;
         windowStartNs = nowNs;
+        suspendedInWindow = !reading;
         return slow;
     }
 }
--- a/node/src/main/java/tansypass/node/frontend/RequestReader.java
+++ b/node/src/main/java/tansypass/node/frontend/RequestReader.java
@@ -139,7 +139,7 @@
                 && incoming.exchange != null
                 && incoming.exchange.request().body().isWindowFull();
         if (windowFull) {
-            incoming.readingSuspended = true;
+            incoming.suspendReading();
         }
         channel.config().setAutoRead(!windowFull);
     }
--- a/node/src/main/java/tansypass/node/frontend/ResponseStream.java
+++ b/node/src/main/java/tansypass/node/frontend/ResponseStream.java
@@ -16,6 +16,8 @@
     private long lastPartNs = System.nanoTime();
     private long windowStartBytes;
     private long windowStartNs;
+    /** True if the client has not accepted more at some time since the present measurement started. */
+    private boolean clientFullInWindow;
 
     /**
      * Creates a stream whose head is about to be written.
@@ -43,7 +45,9 @@
 
     @Override
     public boolean isWritable() {
-        return writer.isWritable();
+        boolean writable = writer.isWritable();
+        clientFullInWindow |= !writable;
+        return writable;
     }
 
     @Override
@@ -72,15 +76,16 @@
     void startRateMeasurement() {
         windowStartBytes = forwardedBytes;
         windowStartNs = System.nanoTime();
+        clientFullInWindow = !writer.isWritable();
     }
 
     /**
      * Returns whether the response has been below the lowest accepted rate since the measurement started although the
-     * client was ready for more, or is over the length limit. Starts the next measurement.
+     * client was ready for more all the time, or is over the length limit. Starts the next measurement.
      */
     boolean isTooSlowOrTooLong() {
         long elapsedNs = System.nanoTime() - windowStartNs;
-        boolean slow = isWritable()
+        boolean slow = !clientFullInWindow
                 && TimeUnit.SECONDS.toNanos(forwardedBytes - windowStartBytes)
                         < IncomingRequest.MIN_BYTES_PER_SECOND * elapsedNs;
         startRateMeasurement();
--- /dev/null
+++ b/node/src/test/java/tansypass/node/frontend/RateMeasurementTest.java
@@ -0,0 +1,55 @@
+package tansypass.node.frontend;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import tansypass.node.http.BlockableChannel;
+import tansypass.node.http.ConnectionBufferLimits;
+import tansypass.node.http.StreamMemoryLimiter;
+
+/**
+ * Guards against a peer that is judged too slow for a time in which the other side was not ready, only because that side
+ * has become ready again just before the end of the measurement.
+ */
+class RateMeasurementTest {
+    private static final int UNKNOWN_LENGTH = -1;
+    private static final long DIRECT_MEMORY_BYTES = 24 << 20;
+
+    private final BlockableChannel clientChannel = new BlockableChannel();
+    private final ResponseStream response = new ResponseStream(
+            null,
+            new ResponseWriter(null, clientChannel, new StreamMemoryLimiter(DIRECT_MEMORY_BYTES, 1)),
+            UNKNOWN_LENGTH);
+
+    @Test
+    void serverIsNotTooSlowWhileClientAcceptsNothing() {
+        response.write(Unpooled.buffer().writeZero(ConnectionBufferLimits.WATER_MARK.high() + 1));
+        response.startRateMeasurement();
+        clientChannel.unblock();
+        assertTrue(response.isWritable());
+        assertFalse(response.isTooSlowOrTooLong(), "the client was not ready");
+        assertTrue(response.isTooSlowOrTooLong(), "the client was ready, and the server sent nothing");
+        clientChannel.finishAndReleaseAll();
+    }
+
+    @Test
+    void clientIsNotTooSlowWhileServerAcceptsNothing() {
+        IncomingRequest request =
+                new IncomingRequest(new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/x"));
+        long nowNs = System.nanoTime() + TimeUnit.SECONDS.toNanos(1);
+        request.suspendReading();
+        assertFalse(request.isTooSlow(nowNs, true), "the server was not ready");
+        nowNs += TimeUnit.SECONDS.toNanos(1);
+        assertTrue(request.isTooSlow(nowNs, true), "the server was ready, and the client sent nothing");
+        nowNs += TimeUnit.SECONDS.toNanos(1);
+        assertFalse(request.isTooSlow(nowNs, false), "the server is not ready");
+        nowNs += TimeUnit.SECONDS.toNanos(1);
+        assertFalse(request.isTooSlow(nowNs, true), "the server was not ready when the measurement started");
+    }
+}
--- a/node/src/test/java/tansypass/node/http/StreamMemoryLimiterTest.java
+++ b/node/src/test/java/tansypass/node/http/StreamMemoryLimiterTest.java
@@ -6,7 +6,6 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.util.ReferenceCountUtil;
 import java.util.ArrayList;
@@ -27,30 +26,8 @@
     private final StreamMemoryLimiter limiter = new StreamMemoryLimiter(DIRECT_MEMORY_BYTES, MAX_STREAMS);
     private final List<BlockableChannel> channels = new ArrayList<>();
 
-    /** A channel whose receiver accepts nothing until it is unblocked. */
-    private static final class BlockableChannel extends EmbeddedChannel {
-        private boolean blocked = true;
-
-        @Override
-        protected void doWrite(ChannelOutboundBuffer buffer) throws Exception {
-            if (!blocked) {
-                super.doWrite(buffer);
-            }
-        }
-
-        void unblock() {
-            blocked = false;
-            flush();
-        }
-
-        long waitingBytes() {
-            return unsafe().outboundBuffer().totalPendingWriteBytes();
-        }
-    }
-
     private BlockableChannel openChannel() {
         BlockableChannel channel = new BlockableChannel();
-        channel.config().setWriteBufferWaterMark(ConnectionBufferLimits.WATER_MARK);
         channels.add(channel);
         return channel;
     }
