Start no further pipelined request until the client has read its responses

A client that pipelines requests and reads nothing fills the direct memory alone: 100 requests for 60 kB each make 6.0 MB wait in the write buffer of its connection, 2,000 make 120 MB; all clients together have 24 MB, and at that limit the event loop stands still for everyone.

Cause: the next request was started when the response before had been passed to the channel, written or not.

Change: ClientConnection starts a request only while the channel is writable, and goes on when it is writable again. Meanwhile the input waits undecoded within its limit. Beyond that limit the responses that were started are written, then the connection is closed (it would have been closed at once, with them lost).

Measured: UnreadResponsesTest, four rows: fail on the code before (6,023,400 and 120,468,000 bytes wait), pass now, with at most a write buffer's mark and one response. 74 tests of eight other classes on closing, floods and races pass.

--- a/node/src/main/java/tansypass/node/frontend/ClientConnection.java
+++ b/node/src/main/java/tansypass/node/frontend/ClientConnection.java
@@ -106,9 +106,22 @@
         return reader.incomingOrNull() == null ? requestInFlight != null : reader.incomingOrNull().complete;
     }
 
-    /** Returns whether new input has to be queued until an earlier request has its response. */
+    /**
+     * Returns whether no further request is started until the client has read more of the responses it has been sent.
+     * Otherwise a client that sends requests and reads nothing would fill the memory.
+     */
+    private boolean isWaitingForClient() {
+        return reader.incomingOrNull() == null && !writer.isWritable();
+    }
+
+    /** Returns whether the next request has to wait, for an earlier response or for the client. */
+    private boolean cannotStartRequest() {
+        return isBusy() || isWaitingForClient();
+    }
+
+    /** Returns whether new input has to be queued until the next request can be started. */
     boolean hasToQueueInput() {
-        return isBusy() || !pipelined.isEmpty();
+        return cannotStartRequest() || !pipelined.isEmpty();
     }
 
     /** Returns whether a request is being received or pipelined input is queued. */
@@ -161,7 +174,7 @@
     }
 
     private void processPipelinedInput() {
-        while (!pipelined.isEmpty() && !writer.isClosing() && !isBusy()) {
+        while (!pipelined.isEmpty() && !writer.isClosing() && !cannotStartRequest()) {
             pipelined.processNext(reader);
         }
     }
@@ -174,6 +187,8 @@
         pipelined.clear();
         if (isBusy()) {
             writer.closeAfterResponse();
+        } else if (writer.hasUnwrittenResponse()) {
+            writer.closeWhenWritten();
         } else {
             close();
         }
@@ -223,7 +238,7 @@
     public void channelRead(ChannelHandlerContext ctx, Object message) {
         if (writer.isClosing() || !(message instanceof HttpObject object)) {
             ReferenceCountUtil.release(message);
-        } else if (isBusy() || pipelined.hasMessages()) {
+        } else if (cannotStartRequest() || pipelined.hasMessages()) {
             pipelined.addMessage(object);
         } else {
             reader.read(object, pipelined.earliestArrivalNs());
@@ -233,6 +248,9 @@
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext ctx) {
         writer.onWritabilityChanged();
+        if (writer.isWritable()) {
+            schedulePipelinedInput();
+        }
     }
 
     @Override
--- a/node/src/main/java/tansypass/node/frontend/ResponseWriter.java
+++ b/node/src/main/java/tansypass/node/frontend/ResponseWriter.java
@@ -59,6 +59,12 @@
         closing = true;
     }
 
+    /** Closes the connection when the responses that have been sent are written. No further request is served. */
+    void closeWhenWritten() {
+        closing = true;
+        closeAfter(channel.writeAndFlush(Unpooled.EMPTY_BUFFER), LINGER_MS);
+    }
+
     /** Returns whether a response has been sent that is not written completely. */
     boolean hasUnwrittenResponse() {
         return unwrittenResponses > 0;
