--- a/node/src/main/java/tansypass/node/admin/NodeMetrics.java
+++ b/node/src/main/java/tansypass/node/admin/NodeMetrics.java
@@ -29,7 +29,7 @@
         }
     }
 
-    /** Why the node has ended an exchange whose long body was being streamed. {@link #format} has the external names. */
+    /** Why the node has ended an exchange whose long body was being streamed. {@link #format} has external names. */
     public enum AbortReason {
         /** The client has accepted nothing of the response for too long. */
         CLIENT_STALLED,
--- a/node/src/main/java/tansypass/node/http/ResponseBodySink.java
+++ b/node/src/main/java/tansypass/node/http/ResponseBodySink.java
@@ -40,7 +40,7 @@
     boolean isWritable();
 
     /**
-     * Attempts to pass on what waits for the receiver, and returns whether it has accepted anything since the last call.
+     * Attempts to pass on what waits for the receiver, and returns whether it has accepted any since the last call.
      */
     boolean hasAdvanced();
 
--- a/node/src/main/java/tansypass/node/upstream/AttemptHandler.java
+++ b/node/src/main/java/tansypass/node/upstream/AttemptHandler.java
@@ -52,7 +52,7 @@
     /**
      * Called before the end of an attempt that is aborted because a peer has made no progress for too long.
      *
-     * @param waitingForClient whether the client accepted no more of the response; otherwise the server made no progress
+     * @param waitingForClient whether the client accepted no more of the response; otherwise the server is the peer
      */
     default void onStalled(boolean waitingForClient) {}
 
--- a/node/src/test/java/tansypass/node/StreamedRequestTest.java
+++ b/node/src/test/java/tansypass/node/StreamedRequestTest.java
@@ -91,7 +91,7 @@
         return attemptSocket;
     }
 
-    /** Guards against an upload that is broken off after 2.5 s although its web server reads some of it all the time. */
+    /** Guards against an upload that is broken off after 2.5 s although its web server reads some of it steadily. */
     @Test
     void waitsForServerThatReadsRequestSlowerThanItsConnectionBecomesWritable() throws Exception {
         startNode(1);
--- a/node/src/test/java/tansypass/node/frontend/RateMeasurementTest.java
+++ b/node/src/test/java/tansypass/node/frontend/RateMeasurementTest.java
@@ -14,8 +14,8 @@
 import tansypass.node.http.StreamMemoryLimiter;
 
 /**
- * Guards against a peer that is judged too slow for a time in which the other side was not ready, only because that side
- * has become ready again just before the end of the measurement.
+ * Guards against a peer that is judged too slow for a time in which the other side was not ready, only because that
+ * side has become ready again just before the end of the measurement.
  */
 class RateMeasurementTest {
     private static final int UNKNOWN_LENGTH = -1;
