Bound the socket buffers, so that many slow readers are not taken for stalled ones

The node had passed several megabytes to the kernel for each reader. The kernel had 495,498 pages for TCP in use (its pressure mark is 383,864) and had cut the send buffers to half of what was queued (1,932,703 allowed, 3,862,078 queued): such a socket accepts nothing before half of the queue has been read, 30 s at that rate, and no attempted write shows progress.

Change: send and receive buffers of 128 KiB (doubled by Linux) on sockets of clients and web servers, both directions. A fixed buffer is not cut under pressure, a third of it drains in 1.4 s at 64 kB a second, and 341 streams need 175 MB of the kernel at most. The attempted write stays, for rates at which even that third takes too long.

--- a/node/src/main/java/tansypass/node/frontend/ConnectionAcceptor.java
+++ b/node/src/main/java/tansypass/node/frontend/ConnectionAcceptor.java
@@ -65,6 +65,9 @@
                 .channelFactory(() -> channel)
                 .option(ChannelOption.SO_BACKLOG, ACCEPT_QUEUE_LENGTH)
                 .option(ChannelOption.SO_REUSEADDR, true)
+                // Accepted connections inherit the receive buffer, whose size limits the window from the start.
+                .option(ChannelOption.SO_RCVBUF, ConnectionBufferLimits.SOCKET_BUFFER_BYTES)
+                .childOption(ChannelOption.SO_SNDBUF, ConnectionBufferLimits.SOCKET_BUFFER_BYTES)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.RECVBUF_ALLOCATOR, createReceiveAllocator())
                 .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, ConnectionBufferLimits.WATER_MARK)
--- a/node/src/main/java/tansypass/node/http/ConnectionBufferLimits.java
+++ b/node/src/main/java/tansypass/node/http/ConnectionBufferLimits.java
@@ -25,5 +25,12 @@
      */
     public static final int MAX_READ_BYTES = 32 * 1024;
 
+    /**
+     * Size that is requested for a socket's send buffer and for its receive buffer, in bytes; Linux doubles it. Without
+     * it a buffer grows to several megabytes while a message is streamed. Together they would then exceed the kernel's
+     * memory for TCP, and it would accept nothing for a slow receiver before half of its buffer has been read.
+     */
+    public static final int SOCKET_BUFFER_BYTES = 128 * 1024;
+
     private ConnectionBufferLimits() {}
 }
--- a/node/src/main/java/tansypass/node/upstream/UpstreamConnectionPool.java
+++ b/node/src/main/java/tansypass/node/upstream/UpstreamConnectionPool.java
@@ -79,6 +79,8 @@
                 .group(loop)
                 .disableResolver()
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMs)
+                .option(ChannelOption.SO_RCVBUF, ConnectionBufferLimits.SOCKET_BUFFER_BYTES)
+                .option(ChannelOption.SO_SNDBUF, ConnectionBufferLimits.SOCKET_BUFFER_BYTES)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.WRITE_BUFFER_WATER_MARK, ConnectionBufferLimits.WATER_MARK)
                 .option(ChannelOption.RECVBUF_ALLOCATOR, new StreamReceiveAllocator(memoryLimiter));
