--- a/node/src/test/java/tansypass/node/ConnectionCloseTest.java
+++ b/node/src/test/java/tansypass/node/ConnectionCloseTest.java
@@ -146,8 +146,8 @@
     }
 
     /**
-     * When the node closes the connection, the kernel still buffers much of the response for the slow client: all of it,
-     * or as much as the socket's send buffer holds.
+     * When the node closes the connection, the kernel still buffers much of the response for the slow client: all of
+     * it, or as much as the socket's send buffer holds.
      */
     @ParameterizedTest
     @ValueSource(ints = {8_000, 50_000, 300_000, 1_000_000})
--- a/node/src/test/java/tansypass/node/SlowClientsMemoryTest.java
+++ b/node/src/test/java/tansypass/node/SlowClientsMemoryTest.java
@@ -34,7 +34,7 @@
     private static final int LONG_BYTES = 16 << 20;
 
     private static final int SERVER_SEND_BUFFER_BYTES = 64 * 1024;
-    /** Of a response: both of the node's socket buffers, twice the requested size, its window, and the peers' buffers. */
+    /** For each response: both socket buffers of the node, its window, and the peers' buffers. */
     private static final long MAX_BYTES_IN_BUFFERS = 1 << 20;
 
     private static final int RECEIVE_BUFFER_BYTES = 4_096;
