Record the names of the new metrics on the page /metrics

Change: the list has the new names and their help texts, and the page is given all three reasons of broken-off messages.

--- a/cli/src/test/java/tansypass/cli/ExternalNamesTest.java
+++ b/cli/src/test/java/tansypass/cli/ExternalNamesTest.java
@@ -78,9 +78,23 @@
             # HELP tansypass_abandoned_total Requests whose client left before anything of them was sent on.
             # TYPE tansypass_abandoned_total counter
             tansypass_abandoned_total 0.0
+            # HELP tansypass_aborted_total Streamed messages that the node broke off, by reason.
+            # TYPE tansypass_aborted_total counter
+            tansypass_aborted_total{reason="client_stalled"} 1.0
+            tansypass_aborted_total{reason="response_too_slow"} 1.0
+            tansypass_aborted_total{reason="web_server_stalled"} 1.0
             # HELP tansypass_attempts_total Requests written whole to web servers.
             # TYPE tansypass_attempts_total counter
             tansypass_attempts_total 1.0
+            # HELP tansypass_direct_memory_bytes Direct memory that the buffer allocator has taken.
+            # TYPE tansypass_direct_memory_bytes gauge
+            tansypass_direct_memory_bytes 0.0
+            # HELP tansypass_direct_memory_limit_bytes Limit of the direct memory.
+            # TYPE tansypass_direct_memory_limit_bytes gauge
+            tansypass_direct_memory_limit_bytes 0.0
+            # HELP tansypass_event_loop_busy_max_ms Longest time between two polls of the event loop, in milliseconds.
+            # TYPE tansypass_event_loop_busy_max_ms gauge
+            tansypass_event_loop_busy_max_ms 0.0
             # HELP tansypass_in_flight Requests taken and not ended.
             # TYPE tansypass_in_flight gauge
             tansypass_in_flight 0.0
@@ -175,7 +189,8 @@
     void metricNamesStayAsRecorded() {
         String page = new MetricsPage(null)
                 .apply("node.requests.a.served=1\nnode.requests.a.refused=1\n"
-                        + "node.requests.a.failed=1\nnode.attempts=1\n");
+                        + "node.requests.a.failed=1\nnode.attempts=1\nnode.aborted.client_stalled=1\n"
+                        + "node.aborted.web_server_stalled=1\nnode.aborted.response_too_slow=1\n");
         assertEquals(
                 RECORDED_METRICS,
                 page.lines()
