--- a/review/harness-2/src/CutBody.java
+++ b/review/harness-2/src/CutBody.java
@@ -9,8 +9,8 @@
 
 /** Clients leave after their whole request, while a web server pauses in the middle of reading it. */
 public final class CutBody {
-    private static final int SERVER_PAUSE_MS = 500;
-    private static final int LEAVE_AFTER_MS = 150;
+    private static final int SERVER_PAUSE_MS = 400;
+    private static final int LEAVE_AFTER_MS = 120;
     private static final int ROUNDS = 3;
 
     public static void main(String[] args) {
@@ -35,15 +35,20 @@
                     byte[] body = sent.get(id);
                     boolean isWhole = Arrays.equals(request.body, body);
                     (isWhole ? whole : cut).incrementAndGet();
-                    rig.note((isWhole ? "" : "CUT: ") + uid + " ran booking " + id + " with " + request.body.length
+                    rig.note((isWhole ? "" : "CUT: ") + uid + " ran ingest request " + id + " with " + request.body.length
                             + " bytes of body; its client sent " + body.length);
                     connection.answer(200, ("for " + id).getBytes(StandardCharsets.US_ASCII));
                 }
             });
-            discovery.put(new Rig.Entry(server.uid, server.address(), "split"));
+            discovery.put(new Rig.Entry(server.uid, server.address(), "stack-1"));
         }
-        String settings =
-                Rig.settings(1, "\"split\"", false, Rig.classJson("book", 1200, 1200, "keyed", "zone", 1200));
+        // Classes and permissions of the deployment `archive` (deploy/sites/archive).
+        String settings = Rig.settings(
+                1,
+                "\"stack-1\"",
+                false,
+                Rig.classJson("lookup", 500, 1200, "safe", "all", 0) + ","
+                        + Rig.classJson("ingest", 600, 1500, "unsafe", "all", 0));
         Rig.Node node = rig.startNode("n1", discovery, settings, 384);
         AtomicInteger served = new AtomicInteger();
         for (int round = 0; round < ROUNDS; round++) {
@@ -52,7 +57,7 @@
                 byte[] body = new byte[kb * 1024];
                 Arrays.fill(body, (byte) ('a' + round));
                 threads.add(Rig.thread(() -> {
-                    if (book(rig, node, sent, body)) {
+                    if (ingest(rig, node, sent, body)) {
                         served.incrementAndGet();
                     }
                 }));
@@ -63,17 +68,17 @@
             }
             Rig.sleepMs(1_500);
         }
-        rig.say("bookings sent " + sent.size() + ", answered with 200 " + served + ", run with the whole body " + whole
+        rig.say("ingest requests sent " + sent.size() + ", answered with 200 " + served + ", run with the whole body " + whole
                 + ", run with a part of the body " + cut);
         return cut.get() > 0 ? Rig.BROKEN : Rig.HELD;
     }
 
-    private static boolean book(Rig rig, Rig.Node node, Map<String, byte[]> sent, byte[] body) {
+    private static boolean ingest(Rig rig, Rig.Node node, Map<String, byte[]> sent, byte[] body) {
         String id = Rig.newId();
         sent.put(id, body);
         try (Rig.Client client = new Rig.Client(node.address(), 4_000)) {
-            client.write("POST /book/1 HTTP/1.1\r\nHost: backend.local\r\nX-Txn: " + id
-                    + "\r\nX-Remaining-Ms: 1200\r\nIdempotency-Key: k" + id + "\r\nTransfer-Encoding: chunked\r\n\r\n");
+            client.write("POST /ingest/1 HTTP/1.1\r\nHost: backend.local\r\nX-Txn: " + id
+                    + "\r\nX-Remaining-Ms: 1500\r\nTransfer-Encoding: chunked\r\n\r\n");
             for (int from = 0; from < body.length; from += 8192) {
                 client.write("2000\r\n");
                 client.out.write(body, from, 8192);
@@ -82,14 +87,14 @@
             client.write("0\r\n\r\n");
             if (rig.trouble) {
                 Rig.sleepMs(LEAVE_AFTER_MS);
-                rig.note("the client of booking " + id + " has sent all and leaves");
+                rig.note("the client of ingest request " + id + " has sent all and leaves");
                 return false;
             }
             Rig.Message answer = client.readAnswer();
-            rig.note("booking " + id + " was answered with " + answer.status);
+            rig.note("ingest request " + id + " was answered with " + answer.status);
             return answer.status == 200;
         } catch (IOException e) {
-            rig.note("booking " + id + ": " + e);
+            rig.note("ingest request " + id + ": " + e);
             return false;
         }
     }
--- a/review/harness-2/src/RetriedUpload.java
+++ b/review/harness-2/src/RetriedUpload.java
@@ -1,24 +1,38 @@
 import java.io.IOException;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicInteger;
 
-/** Connections to web servers are reset under bookings that have begun and whose bodies are still on their way. */
+/**
+ * Connections to web servers are reset under bookings that have begun and whose bodies are still on their way. With the
+ * further argument `new-connections`, a trial that is no case: there is no other traffic, so that each attempt needs a new
+ * connection, the bodies come faster, and the reset comes up to 4 ms after the head.
+ */
 public final class RetriedUpload {
     private static final int CLIENTS = 4;
-    private static final int BOOKINGS_PER_CLIENT = 10;
     private static final int BODY_BYTES = 400_000;
-    private static final int PIECE_BYTES = 40_000;
-    private static final int PIECE_INTERVAL_MS = 15;
     private static final int TIME_MS = 1_200;
     private static final int SLACK_MS = 50 + 500;
     private static final int LATE_MS = 5_000;
 
+    private static boolean newConnections;
+    private static int bookingsPerClient = 10;
+    private static int pieceBytes = 40_000;
+    private static int pieceIntervalMs = 15;
+
     public static void main(String[] args) {
+        newConnections = args.length > 1 && args[1].equals("new-connections");
+        if (newConnections) {
+            bookingsPerClient = 60;
+            pieceBytes = 48_000;
+            pieceIntervalMs = 1;
+        }
         Rig.main(args, RetriedUpload::run);
     }
 
@@ -37,6 +51,9 @@
                     // The first attempt of every second booking.
                     if (rig.trouble && isBooking && seen.putIfAbsent(id, true) == null && resets.incrementAndGet() % 2 == 0) {
                         rig.note(uid + " resets the connection of booking " + id + ", whose body is still coming");
+                        if (newConnections) {
+                            Rig.sleepMs(ThreadLocalRandom.current().nextInt(5));
+                        }
                         connection.socket.setSoLinger(true, 0);
                         connection.socket.close();
                     }
@@ -60,7 +77,7 @@
         Rig.Node node = rig.startNode("n1", discovery, settings, 384);
         // Ordinary traffic, so that there are resting connections to the web servers.
         boolean[] ended = {false};
-        for (int i = 0; i < 8; i++) {
+        for (int i = 0; i < 8 && !newConnections; i++) {
             Rig.thread(() -> searchUntil(node, ended));
         }
         Rig.sleepMs(1_000);
@@ -70,7 +87,7 @@
         List<Thread> threads = new ArrayList<>();
         for (int i = 0; i < CLIENTS; i++) {
             threads.add(Rig.thread(() -> {
-                for (int k = 0; k < BOOKINGS_PER_CLIENT; k++) {
+                for (int k = 0; k < bookingsPerClient; k++) {
                     book(rig, node, sent, answered, lost);
                 }
             }));
@@ -80,6 +97,7 @@
             t.join(60_000);
         }
         ended[0] = true;
+        Files.readString(node.log).lines().filter(l -> l.contains("no longer replayable")).forEach(rig::note);
         rig.say("bookings sent to their last byte " + sent + ", connections reset under their first attempt "
                 + (resets.get() / 2) + ", bookings run " + ran + ", answered " + answered + ", lost " + lost);
         return lost.get() > 0 ? Rig.BROKEN : Rig.HELD;
@@ -90,9 +108,9 @@
         try (Rig.Client client = new Rig.Client(node.address(), TIME_MS + SLACK_MS)) {
             client.write("POST /book/1 HTTP/1.1\r\nHost: backend.local\r\nX-Txn: " + id + "\r\nX-Remaining-Ms: "
                     + TIME_MS + "\r\nIdempotency-Key: k" + id + "\r\nContent-Length: " + BODY_BYTES + "\r\n\r\n");
-            for (int from = 0; from < BODY_BYTES; from += PIECE_BYTES) {
-                client.out.write(new byte[PIECE_BYTES]);
-                Rig.sleepMs(PIECE_INTERVAL_MS);
+            for (int from = 0; from < BODY_BYTES; from += pieceBytes) {
+                client.out.write(new byte[Math.min(pieceBytes, BODY_BYTES - from)]);
+                Rig.sleepMs(pieceIntervalMs);
             }
             sent.incrementAndGet();
             rig.note("booking " + id + " is sent to its last byte");
