--- a/review/harness-2/src/RetriedUpload.java
+++ b/review/harness-2/src/RetriedUpload.java
@@ -19,10 +19,10 @@
     private static final int BODY_BYTES = 400_000;
     private static final int TIME_MS = 1_200;
     private static final int SLACK_MS = 50 + 500;
-    private static final int LATE_MS = 5_000;
+    private static final int LATE_MS = 2_000;
 
     private static boolean newConnections;
-    private static int bookingsPerClient = 10;
+    private static int bookingsPerClient = 20;
     private static int pieceBytes = 40_000;
     private static int pieceIntervalMs = 15;
 
