Give each attempt a reader of its own for a body that is still being received

Cause: a body had one listener and one read position for all attempts. A broken connection reports its end twice; the second report closed the failed attempt's writer again and so removed the listener of the retry, which had started in between. The window filled, reading stopped, and no deadline was ever set. Where the retry waited for a connection, parts that the failed attempt had read were dropped meanwhile, and the exception for it was thrown in a listener, where nobody ended the attempt.

Change: RequestBody.Reader belongs to one attempt; a closed one can't affect its successor, and parts are dropped only for the open one. An exchange that has ended ignores further ends of its connection. An attempt that can't be sent when it gets its connection ends as NOT_SENT. With that the end of an attempt has one owner, whatever order the events come in.

--- a/node/src/main/java/tansypass/node/http/RequestBody.java
+++ b/node/src/main/java/tansypass/node/http/RequestBody.java
@@ -6,9 +6,10 @@
 import java.util.List;
 
 /**
- * A request body that is received from a client and read for a server. At first the body is replayable: it can be read
- * from its start repeatedly. When its window is full, the parts that have been read are dropped, and the body is no
- * longer replayable. It owns its bytes until {@link #close}. Used on one event loop only.
+ * A request body that is received from a client and read for a server, by one {@link Reader} at a time. At first the
+ * body is replayable: it can be read from its start repeatedly. When its window is full, the parts that the present
+ * reader has read are dropped, and the body is no longer replayable. It owns its bytes until {@link #close}. Used on
+ * one event loop only.
  */
 public final class RequestBody {
     /**
@@ -19,10 +20,14 @@
 
     private final BodyMemoryLimiter memoryLimiter;
     private final List<ByteBuf> parts = new ArrayList<>(2);
-    private Runnable onContent = () -> {};
+    /** The open reader, or null if the body is not being read. */
+    private Reader reader;
+
     private Runnable onWindowAvailable = () -> {};
     private Runnable onNotReplayable = () -> {};
+    /** The index of the first part that the open reader has not read; 0 if there is none. */
     private int nextPartIndex;
+
     private long length;
     private int bufferedBytes;
     private boolean complete;
@@ -62,14 +67,20 @@
             parts.add(last);
         }
         last.writeBytes(content);
-        onContent.run();
+        notifyReader();
         dropReadParts();
     }
 
     /** Marks the body as completely received. */
     public void complete() {
         complete = true;
-        onContent.run();
+        notifyReader();
+    }
+
+    private void notifyReader() {
+        if (reader != null) {
+            reader.onContent.run();
+        }
     }
 
     /** Returns whether the last byte has been received. */
@@ -107,38 +118,55 @@
         return Unpooled.wrappedBuffer(all);
     }
 
+    /** Returns whether the body can be read from its start: it is replayable and not being read. */
+    public boolean canBeRead() {
+        return replayable && reader == null;
+    }
+
     /**
      * Starts to read the body from its start.
      *
      * @param whenContent runs when more content, or the end of the body, has been received
-     * @throws IllegalStateException if the body is no longer replayable
+     * @throws IllegalStateException unless {@link #canBeRead}
      */
-    void rewind(Runnable whenContent) {
-        if (!replayable) {
-            throw new IllegalStateException("body is no longer replayable, length " + length);
+    Reader openReader(Runnable whenContent) {
+        if (!canBeRead()) {
+            throw new IllegalStateException("body can't be read, replayable: " + replayable + ", length " + length);
         }
-        nextPartIndex = 0;
-        onContent = whenContent;
+        reader = new Reader(whenContent);
+        return reader;
     }
 
-    /** Stops notifying the reader. */
-    void stopReading() {
-        onContent = () -> {};
-    }
+    /** Reads the body for one attempt. A closed reader reads nothing, and has no effect on the reader that follows. */
+    final class Reader {
+        private final Runnable onContent;
 
-    /** Returns the next part, which the caller must release; null if no further part has been received yet. */
-    ByteBuf readNextOrNull() {
-        if (nextPartIndex == parts.size()) {
-            return null;
+        private Reader(Runnable onContent) {
+            this.onContent = onContent;
+        }
+
+        /** Returns the next part, which the caller must release; null if no further part has been received yet. */
+        ByteBuf readNextOrNull() {
+            if (reader != this || nextPartIndex == parts.size()) {
+                return null;
+            }
+            ByteBuf part = parts.get(nextPartIndex++).retainedDuplicate();
+            dropReadParts();
+            return part;
         }
-        ByteBuf part = parts.get(nextPartIndex++).retainedDuplicate();
-        dropReadParts();
-        return part;
-    }
 
-    /** Returns whether the body is complete and the reader has read all of it. */
-    boolean isFullyRead() {
-        return complete && nextPartIndex == parts.size();
+        /** Returns whether the body is complete and this reader has read all of it. */
+        boolean isFullyRead() {
+            return reader == this && complete && nextPartIndex == parts.size();
+        }
+
+        /** Ends the reading. A replayable body can then be read again. Further calls have no effect. */
+        void close() {
+            if (reader == this) {
+                reader = null;
+                nextPartIndex = 0;
+            }
+        }
     }
 
     /** While the window is full and the body is incomplete, drops the parts that have been read. */
@@ -165,7 +193,7 @@
 
     /** Releases all bytes. Further calls have no effect. */
     public void close() {
-        stopReading();
+        reader = null;
         parts.forEach(this::release);
         parts.clear();
         nextPartIndex = 0;
--- a/node/src/main/java/tansypass/node/http/RequestBodyWriter.java
+++ b/node/src/main/java/tansypass/node/http/RequestBodyWriter.java
@@ -14,7 +14,8 @@
     private final RequestBody body;
     private final ProgressTimeout progressTimeout;
     private final Consumer<ChannelFuture> onLastWritten;
-    private boolean closed;
+    /** Null until the writer is started. */
+    private RequestBody.Reader reader;
 
     /**
      * Creates a writer that has not started.
@@ -36,23 +37,23 @@
         this.onLastWritten = onLastWritten;
     }
 
-    /** Starts to write the body from its start. */
+    /** Starts to write the body from its start. The body must be readable. */
     public void start() {
-        body.rewind(this::writeAvailable);
+        reader = body.openReader(this::writeAvailable);
         writeAvailable();
     }
 
     /** Writes the parts that have been received. Must be called again when the channel becomes writable. */
     public void writeAvailable() {
-        ByteBuf part = !closed && channel.isWritable() ? body.readNextOrNull() : null;
+        ByteBuf part = channel.isWritable() ? reader.readNextOrNull() : null;
         while (part != null) {
             window.resize();
             progressTimeout.recordProgress();
             channel.write(new DefaultHttpContent(part));
-            part = !closed && channel.isWritable() ? body.readNextOrNull() : null;
+            part = channel.isWritable() ? reader.readNextOrNull() : null;
         }
-        if (!closed && body.isFullyRead()) {
-            close();
+        if (reader.isFullyRead()) {
+            reader.close();
             onLastWritten.accept(channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
         } else {
             channel.flush();
@@ -60,9 +61,8 @@
         window.updateUsage();
     }
 
-    /** Stops writing. */
+    /** Stops writing. Further calls have no effect. */
     public void close() {
-        closed = true;
-        body.stopReading();
+        reader.close();
     }
 }
--- a/node/src/main/java/tansypass/node/request/InFlightRequest.java
+++ b/node/src/main/java/tansypass/node/request/InFlightRequest.java
@@ -163,7 +163,7 @@
 
     /**
      * Sends the next attempt. The attempt ends as NOT_SENT if the request has ended, a deadline has passed or the body
-     * is no longer replayable.
+     * can't be read from its start.
      *
      * @param attemptDeadlineUs on the load balancer's clock, in microseconds; 0 or less for the request's deadline
      */
@@ -173,7 +173,7 @@
         attempts.add(attempt);
         attemptsInFlight++;
         attempt.setDeadline(attemptDeadlineUs <= 0 ? deadlineUs : Math.min(attemptDeadlineUs, deadlineUs));
-        if (ended || nowUs >= attempt.deadlineUs() || !clientRequest().body().isReplayable()) {
+        if (ended || nowUs >= attempt.deadlineUs() || !clientRequest().body().canBeRead()) {
             attempt.onAttemptEnded(AttemptResult.NOT_SENT, null);
         } else {
             attempt.start(pool, serverId);
--- a/node/src/main/java/tansypass/node/request/RequestAttempt.java
+++ b/node/src/main/java/tansypass/node/request/RequestAttempt.java
@@ -118,6 +118,11 @@
         }
     }
 
+    @Override
+    public boolean isSendable() {
+        return request.body().canBeRead();
+    }
+
     @Override
     public HttpRequest createMessage() {
         return request.createUpstreamMessage(Math.min(deadlineUs - balancer.nowUs(), request.remainingUs()));
--- a/node/src/main/java/tansypass/node/upstream/AttemptHandler.java
+++ b/node/src/main/java/tansypass/node/upstream/AttemptHandler.java
@@ -8,6 +8,14 @@
 
 /** Supplies the request of one attempt and receives the events of the attempt. All methods run on the event loop. */
 public interface AttemptHandler {
+    /**
+     * Returns whether the request can be sent from its start. Called when the attempt gets its connection; if false,
+     * the attempt ends as NOT_SENT.
+     */
+    default boolean isSendable() {
+        return true;
+    }
+
     /**
      * Creates the request's message. Called just before the message is written.
      *
--- a/node/src/main/java/tansypass/node/upstream/UpstreamConnection.java
+++ b/node/src/main/java/tansypass/node/upstream/UpstreamConnection.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.util.ReferenceCountUtil;
+import tansypass.balancer.AttemptResult;
 import tansypass.node.http.StreamMemoryLimiter;
 
 /**
@@ -87,8 +88,16 @@
         }
     }
 
-    /** Sends the attempt's request. The connection must not carry another attempt. */
+    /**
+     * Sends the attempt's request, or ends the attempt and releases the connection if the request can't be sent. The
+     * connection must not carry another attempt.
+     */
     void send(UpstreamAttempt attempt) {
+        if (!attempt.handler().isSendable()) {
+            attempt.end(AttemptResult.NOT_SENT, null);
+            release();
+            return;
+        }
         hasCarriedAttempt = true;
         attempt.assignConnection(this);
         exchange.start(attempt);
--- a/node/src/main/java/tansypass/node/upstream/UpstreamExchange.java
+++ b/node/src/main/java/tansypass/node/upstream/UpstreamExchange.java
@@ -88,7 +88,7 @@
         return attempt != null && response.isStreaming();
     }
 
-    /** Starts an exchange by writing the attempt's request. No exchange may be in progress. */
+    /** Starts an exchange by writing the attempt's request, which must be sendable. No exchange may be in progress. */
     void start(UpstreamAttempt newAttempt) {
         attempt = newAttempt;
         requestWritten = false;
@@ -298,12 +298,14 @@
      * only if its request was not written completely, because only then has the server certainly not executed it. */
     private void fail() {
         UpstreamAttempt failed = attempt;
+        if (failed == null) {
+            listener.onConnectionBroken();
+            return;
+        }
         attempt = null;
         stopTimers();
         listener.onConnectionBroken();
-        if (failed != null) {
-            failed.end(requestWritten ? AttemptResult.RESET : AttemptResult.CONNECT_FAILED, null);
-        }
+        failed.end(requestWritten ? AttemptResult.RESET : AttemptResult.CONNECT_FAILED, null);
     }
 
     /** Ends the exchange, if any, because the channel has ended. A complete response is still reported. */
--- a/node/src/test/java/tansypass/node/http/RequestBodyTest.java
+++ b/node/src/test/java/tansypass/node/http/RequestBodyTest.java
@@ -25,9 +25,9 @@
         body.add(Unpooled.wrappedBuffer(new byte[bytes]));
     }
 
-    private int readAll() {
+    private static int readAll(RequestBody.Reader reader) {
         int readBytes = 0;
-        for (ByteBuf part = body.readNextOrNull(); part != null; part = body.readNextOrNull()) {
+        for (ByteBuf part = reader.readNextOrNull(); part != null; part = reader.readNextOrNull()) {
             readBytes += part.readableBytes();
             part.release();
         }
@@ -41,12 +41,15 @@
         add(1);
         assertTrue(body.isOverBufferThreshold());
         assertFalse(body.isWindowFull());
-        assertEquals(BodyMemoryLimiter.BUFFER_THRESHOLD_BYTES + 1, readAll());
-        body.rewind(() -> {});
-        assertEquals(BodyMemoryLimiter.BUFFER_THRESHOLD_BYTES + 1, readAll());
-        assertFalse(body.isFullyRead());
+        RequestBody.Reader first = body.openReader(() -> {});
+        assertEquals(BodyMemoryLimiter.BUFFER_THRESHOLD_BYTES + 1, readAll(first));
+        first.close();
+        RequestBody.Reader second = body.openReader(() -> {});
+        assertEquals(BodyMemoryLimiter.BUFFER_THRESHOLD_BYTES + 1, readAll(second));
+        assertFalse(second.isFullyRead());
         body.complete();
-        assertTrue(body.isFullyRead());
+        assertTrue(second.isFullyRead());
+        assertFalse(first.isFullyRead());
         assertEquals(0, notReplayableCalls);
     }
 
@@ -59,15 +62,17 @@
         }
         assertTrue(addedBytes < BodyMemoryLimiter.WINDOW_BYTES + 10_000, "buffered " + addedBytes);
         assertEquals(0, windowAvailableCalls + notReplayableCalls);
-        body.readNextOrNull().release();
+        RequestBody.Reader reader = body.openReader(() -> {});
+        reader.readNextOrNull().release();
         assertEquals(1, windowAvailableCalls, "window has room again");
         assertEquals(1, notReplayableCalls);
         assertFalse(body.isReplayable());
-        assertThrows(IllegalStateException.class, () -> body.rewind(() -> {}));
-        readAll();
+        assertFalse(body.canBeRead());
+        assertThrows(IllegalStateException.class, () -> body.openReader(() -> {}));
+        readAll(reader);
         for (int i = 0; i < 1_000; i++) {
             add(10_000);
-            readAll();
+            readAll(reader);
             assertTrue(
                     memoryLimiter.usedBytes() <= BodyMemoryLimiter.WINDOW_BYTES + 10_000,
                     "buffered " + memoryLimiter.usedBytes());
@@ -75,9 +80,41 @@
         assertEquals(1, notReplayableCalls, "notified once");
     }
 
+    /** Guards against a retry that is told of no further part, because the failed attempt is closed once more. */
+    @Test
+    void aReaderThatIsClosedAgainDoesNotStopItsSuccessor() {
+        RequestBody.Reader failed = body.openReader(() -> {});
+        failed.close();
+        int[] notifications = new int[1];
+        RequestBody.Reader retry = body.openReader(() -> notifications[0]++);
+        failed.close();
+        add(10_000);
+        assertEquals(1, notifications[0]);
+        assertNull(failed.readNextOrNull());
+        assertEquals(10_000, readAll(retry));
+    }
+
+    /** Guards against a retry that waits for its connection and then finds the start of the body dropped. */
+    @Test
+    void nothingIsDroppedBetweenTwoReaders() {
+        RequestBody.Reader failed = body.openReader(() -> {});
+        add(10_000);
+        assertEquals(10_000, readAll(failed));
+        failed.close();
+        int addedBytes = 10_000;
+        while (!body.isWindowFull()) {
+            add(10_000);
+            addedBytes += 10_000;
+        }
+        assertTrue(body.canBeRead());
+        assertEquals(0, notReplayableCalls);
+        assertEquals(addedBytes, readAll(body.openReader(() -> {})));
+    }
+
     @Test
     void aReaderThatKeepsUpNeverFillsTheWindow() {
-        body.rewind(this::readAll);
+        RequestBody.Reader[] reader = new RequestBody.Reader[1];
+        reader[0] = body.openReader(() -> readAll(reader[0]));
         for (int i = 0; i < 1_000; i++) {
             add(10_000);
             assertFalse(body.isWindowFull(), "window full with " + memoryLimiter.usedBytes());
@@ -91,7 +128,8 @@
         }
         int parts = 0;
         int readBytes = 0;
-        for (ByteBuf part = body.readNextOrNull(); part != null; part = body.readNextOrNull()) {
+        RequestBody.Reader reader = body.openReader(() -> {});
+        for (ByteBuf part = reader.readNextOrNull(); part != null; part = reader.readNextOrNull()) {
             parts++;
             while (part.isReadable()) {
                 assertEquals((byte) readBytes++, part.readByte());
@@ -117,7 +155,7 @@
         for (RequestBody closing : bodies) {
             closing.close();
             closing.close();
-            assertNull(closing.readNextOrNull());
+            assertFalse(closing.canBeRead());
         }
         assertEquals(0, memoryLimiter.usedBytes());
     }
