End an attempt whose request is closed before it is wholly written

Cause: closing a body drops the parts that are not written. A body that had been received completely then looked fully read, and its writer, which nobody had closed, wrote the last chunk. One that had not been received completely could never be completed, and nobody ended its attempt.

Evidence: LeftUploadTest with a chunked body ends in a last chunk, with a fixed length it is only cut short, so the parts are lost in the body and not in the write buffer.

Change: closing a body notifies the open reader; the exchange closes the connection and the attempt ends as NOT_SENT. PROTOCOL counts an attempt once its last byte has come, so this cancels none. A request ends before its body is closed, so that the attempt is not retried. A cancelled attempt that was not wholly written no longer counts as a failure of its server, since clients that leave say nothing about it.

--- a/node/src/main/java/tansypass/node/frontend/Exchange.java
+++ b/node/src/main/java/tansypass/node/frontend/Exchange.java
@@ -196,8 +196,9 @@
     void disconnect() {
         answered = true;
         recordFinished();
-        request.body().close();
+        // The request ends first, so that an attempt that ends with the body is not retried.
         disconnectListener.run();
+        request.body().close();
     }
 
     /** Records the outcome of the streamed response once its last byte has been written. */
--- a/node/src/main/java/tansypass/node/http/RequestBody.java
+++ b/node/src/main/java/tansypass/node/http/RequestBody.java
@@ -79,7 +79,7 @@
 
     private void notifyReader() {
         if (reader != null) {
-            reader.onContent.run();
+            reader.listener.onContent();
         }
     }
 
@@ -123,26 +123,34 @@
         return replayable && reader == null;
     }
 
+    /** Receives the events of a body while a reader is open. */
+    interface Listener {
+        /** Called when more content, or the end of the body, has been received. */
+        void onContent();
+
+        /** Called when the body has been closed before the reader was. What it has not read is lost. */
+        void onBodyClosed();
+    }
+
     /**
      * Starts to read the body from its start.
      *
-     * @param whenContent runs when more content, or the end of the body, has been received
      * @throws IllegalStateException unless {@link #canBeRead}
      */
-    Reader openReader(Runnable whenContent) {
+    Reader openReader(Listener listener) {
         if (!canBeRead()) {
             throw new IllegalStateException("body can't be read, replayable: " + replayable + ", length " + length);
         }
-        reader = new Reader(whenContent);
+        reader = new Reader(listener);
         return reader;
     }
 
     /** Reads the body for one attempt. A closed reader reads nothing, and has no effect on the reader that follows. */
     final class Reader {
-        private final Runnable onContent;
+        private final Listener listener;
 
-        private Reader(Runnable onContent) {
-            this.onContent = onContent;
+        private Reader(Listener listener) {
+            this.listener = listener;
         }
 
         /** Returns the next part, which the caller must release; null if no further part has been received yet. */
@@ -191,12 +199,16 @@
         part.release();
     }
 
-    /** Releases all bytes. Further calls have no effect. */
+    /** Releases all bytes, and notifies an open reader that no more can be read. Further calls have no effect. */
     public void close() {
+        Reader interrupted = reader;
         reader = null;
         parts.forEach(this::release);
         parts.clear();
         nextPartIndex = 0;
         replayable &= length == 0;
+        if (interrupted != null) {
+            interrupted.listener.onBodyClosed();
+        }
     }
 }
--- a/node/src/main/java/tansypass/node/request/InFlightRequest.java
+++ b/node/src/main/java/tansypass/node/request/InFlightRequest.java
@@ -258,20 +258,23 @@
      */
     void reject(long retryAfterUs) {
         if (!ended) {
-            exchange.reject(retryAfterUs);
             end();
+            exchange.reject(retryAfterUs);
         }
     }
 
     /** Responds with an error. Has no effect if the request has ended. */
     void fail(HttpResponseStatus status, String reason) {
         if (!ended) {
-            exchange.fail(status, reason);
             end();
+            exchange.fail(status, reason);
         }
     }
 
-    /** Ends the request, which needs no response any more. Attempts that still wait for a connection are not sent. */
+    /**
+     * Ends the request, which needs no further response. Attempts that still wait for a connection are not sent. One
+     * that is still sending the body ends when the exchange closes the body.
+     */
     void end() {
         ended = true;
         cancelDeadlineTimers();
--- a/node/src/main/java/tansypass/node/upstream/UpstreamAttempt.java
+++ b/node/src/main/java/tansypass/node/upstream/UpstreamAttempt.java
@@ -28,9 +28,11 @@
     }
 
     /**
-     * Ends the attempt now, unless it has ended already. It ends as NOT_SENT if it was still waiting for a connection,
-     * as CONNECT_FAILED if the request was not written completely and therefore cannot have been executed, and with
-     * the given result otherwise.
+     * Ends the attempt now, unless it has ended already. If the request was not written completely, it cannot have been
+     * executed: the attempt then ends as NOT_SENT if it was still waiting for a connection or is cancelled, which says
+     * nothing about the server, and as CONNECT_FAILED otherwise.
+     *
+     * @param result the result of a request that was written completely
      */
     public void abort(AttemptResult result) {
         if (ended) {
@@ -42,7 +44,11 @@
             return;
         }
         boolean written = connection.abortAttempt();
-        end(written ? result : AttemptResult.CONNECT_FAILED, null);
+        end(written ? result : resultOfUnwritten(result), null);
+    }
+
+    private static AttemptResult resultOfUnwritten(AttemptResult result) {
+        return result == AttemptResult.CANCELLED ? AttemptResult.NOT_SENT : AttemptResult.CONNECT_FAILED;
     }
 
     /**
--- a/node/src/main/java/tansypass/node/upstream/UpstreamExchange.java
+++ b/node/src/main/java/tansypass/node/upstream/UpstreamExchange.java
@@ -103,15 +103,31 @@
         }
         channel.write(message);
         bodyWriter = new RequestBodyWriter(
-                channel,
-                window,
-                newAttempt.handler().requestBody(),
-                stallTimeout,
-                lastWrite -> reportWhenWritten(newAttempt, lastWrite));
+                channel, window, newAttempt.handler().requestBody(), stallTimeout, new BodyListener(newAttempt));
         stallTimeout.start(UpstreamConnectionPool.STALL_TIMEOUT_MS);
         bodyWriter.start();
     }
 
+    /** Receives the end of an attempt's body. */
+    private final class BodyListener implements RequestBodyWriter.Listener {
+        private final UpstreamAttempt attemptOfBody;
+
+        BodyListener(UpstreamAttempt attemptOfBody) {
+            this.attemptOfBody = attemptOfBody;
+        }
+
+        @Override
+        public void onLastWritten(ChannelFuture lastWrite) {
+            reportWhenWritten(attemptOfBody, lastWrite);
+        }
+
+        /** Closes the connection, because the server would otherwise wait for the rest of the request. */
+        @Override
+        public void onBodyClosed() {
+            attemptOfBody.abort(AttemptResult.CANCELLED);
+        }
+    }
+
     /** Reports to the attempt's handler when the last byte has been written to the socket, or ends the attempt if the
      * write fails. A request whose last write has failed was not sent completely, since Netty never repeats a write. */
     private void reportWhenWritten(UpstreamAttempt writtenAttempt, ChannelFuture lastWrite) {
--- a/node/src/test/java/tansypass/node/http/RequestBodyTest.java
+++ b/node/src/test/java/tansypass/node/http/RequestBodyTest.java
@@ -16,6 +16,7 @@
     private final RequestBody body = new RequestBody(memoryLimiter);
     private int windowAvailableCalls;
     private int notReplayableCalls;
+    private int closedCalls;
 
     RequestBodyTest() {
         body.setListeners(() -> windowAvailableCalls++, () -> notReplayableCalls++);
@@ -25,6 +26,20 @@
         body.add(Unpooled.wrappedBuffer(new byte[bytes]));
     }
 
+    private RequestBody.Reader openReader(Runnable onContent) {
+        return body.openReader(new RequestBody.Listener() {
+            @Override
+            public void onContent() {
+                onContent.run();
+            }
+
+            @Override
+            public void onBodyClosed() {
+                closedCalls++;
+            }
+        });
+    }
+
     private static int readAll(RequestBody.Reader reader) {
         int readBytes = 0;
         for (ByteBuf part = reader.readNextOrNull(); part != null; part = reader.readNextOrNull()) {
@@ -41,10 +56,10 @@
         add(1);
         assertTrue(body.isOverBufferThreshold());
         assertFalse(body.isWindowFull());
-        RequestBody.Reader first = body.openReader(() -> {});
+        RequestBody.Reader first = openReader(() -> {});
         assertEquals(BodyMemoryLimiter.BUFFER_THRESHOLD_BYTES + 1, readAll(first));
         first.close();
-        RequestBody.Reader second = body.openReader(() -> {});
+        RequestBody.Reader second = openReader(() -> {});
         assertEquals(BodyMemoryLimiter.BUFFER_THRESHOLD_BYTES + 1, readAll(second));
         assertFalse(second.isFullyRead());
         body.complete();
@@ -62,13 +77,13 @@
         }
         assertTrue(addedBytes < BodyMemoryLimiter.WINDOW_BYTES + 10_000, "buffered " + addedBytes);
         assertEquals(0, windowAvailableCalls + notReplayableCalls);
-        RequestBody.Reader reader = body.openReader(() -> {});
+        RequestBody.Reader reader = openReader(() -> {});
         reader.readNextOrNull().release();
         assertEquals(1, windowAvailableCalls, "window has room again");
         assertEquals(1, notReplayableCalls);
         assertFalse(body.isReplayable());
         assertFalse(body.canBeRead());
-        assertThrows(IllegalStateException.class, () -> body.openReader(() -> {}));
+        assertThrows(IllegalStateException.class, () -> openReader(() -> {}));
         readAll(reader);
         for (int i = 0; i < 1_000; i++) {
             add(10_000);
@@ -83,10 +98,10 @@
     /** Guards against a retry that is told of no further part, because the failed attempt is closed once more. */
     @Test
     void aReaderThatIsClosedAgainDoesNotStopItsSuccessor() {
-        RequestBody.Reader failed = body.openReader(() -> {});
+        RequestBody.Reader failed = openReader(() -> {});
         failed.close();
         int[] notifications = new int[1];
-        RequestBody.Reader retry = body.openReader(() -> notifications[0]++);
+        RequestBody.Reader retry = openReader(() -> notifications[0]++);
         failed.close();
         add(10_000);
         assertEquals(1, notifications[0]);
@@ -94,10 +109,23 @@
         assertEquals(10_000, readAll(retry));
     }
 
+    /** Guards against a body that looks fully read, although its last parts were dropped before they were read. */
+    @Test
+    void aBodyThatIsClosedEarlyIsNotFullyRead() {
+        RequestBody.Reader reader = openReader(() -> {});
+        add(10_000);
+        body.complete();
+        body.close();
+        assertFalse(reader.isFullyRead());
+        assertEquals(1, closedCalls);
+        body.close();
+        assertEquals(1, closedCalls);
+    }
+
     /** Guards against a retry that waits for its connection and then finds the start of the body dropped. */
     @Test
     void nothingIsDroppedBetweenTwoReaders() {
-        RequestBody.Reader failed = body.openReader(() -> {});
+        RequestBody.Reader failed = openReader(() -> {});
         add(10_000);
         assertEquals(10_000, readAll(failed));
         failed.close();
@@ -108,13 +136,13 @@
         }
         assertTrue(body.canBeRead());
         assertEquals(0, notReplayableCalls);
-        assertEquals(addedBytes, readAll(body.openReader(() -> {})));
+        assertEquals(addedBytes, readAll(openReader(() -> {})));
     }
 
     @Test
     void aReaderThatKeepsUpNeverFillsTheWindow() {
         RequestBody.Reader[] reader = new RequestBody.Reader[1];
-        reader[0] = body.openReader(() -> readAll(reader[0]));
+        reader[0] = openReader(() -> readAll(reader[0]));
         for (int i = 0; i < 1_000; i++) {
             add(10_000);
             assertFalse(body.isWindowFull(), "window full with " + memoryLimiter.usedBytes());
@@ -128,7 +156,7 @@
         }
         int parts = 0;
         int readBytes = 0;
-        RequestBody.Reader reader = body.openReader(() -> {});
+        RequestBody.Reader reader = openReader(() -> {});
         for (ByteBuf part = reader.readNextOrNull(); part != null; part = reader.readNextOrNull()) {
             parts++;
             while (part.isReadable()) {
--- a/node/src/test/java/tansypass/node/http/StreamMemoryLimiterTest.java
+++ b/node/src/test/java/tansypass/node/http/StreamMemoryLimiterTest.java
@@ -6,6 +6,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.util.ReferenceCountUtil;
 import java.util.ArrayList;
@@ -15,6 +16,14 @@
 
 /** Guards against messages to many slow receivers that together need more direct memory than there is. */
 class StreamMemoryLimiterTest {
+    private static final RequestBodyWriter.Listener UNUSED_LISTENER = new RequestBodyWriter.Listener() {
+        @Override
+        public void onLastWritten(ChannelFuture lastWrite) {}
+
+        @Override
+        public void onBodyClosed() {}
+    };
+
     private static final long DIRECT_MEMORY_BYTES = 24 << 20;
     /** Receive buffers may be half empty, so that waiting bytes may use up to twice as much memory. */
     private static final long MAX_WAITING_BYTES = DIRECT_MEMORY_BYTES / 2;
@@ -73,7 +82,8 @@
             RequestBody body = new RequestBody(bodyLimiter);
             bodies.add(body);
             ProgressTimeout unusedTimeout = new ProgressTimeout(channel.eventLoop(), () -> false, () -> {});
-            new RequestBodyWriter(channel, new StreamWindow(channel, limiter), body, unusedTimeout, done -> {}).start();
+            new RequestBodyWriter(channel, new StreamWindow(channel, limiter), body, unusedTimeout, UNUSED_LISTENER)
+                    .start();
             while (!body.isWindowFull()) {
                 body.add(Unpooled.wrappedBuffer(new byte[DECODED_PART_BYTES]));
             }
--- a/node/src/test/java/tansypass/node/upstream/UpstreamAttemptTest.java
+++ b/node/src/test/java/tansypass/node/upstream/UpstreamAttemptTest.java
@@ -17,6 +17,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import tansypass.balancer.AttemptResult;
 import tansypass.node.FakePeer;
@@ -175,6 +176,22 @@
         }
     }
 
+    /** A client that leaves while its request is written says nothing about the server, unlike a server that stalls. */
+    @ParameterizedTest
+    @CsvSource({"CANCELLED, NOT_SENT", "TIMEOUT, CONNECT_FAILED"})
+    void abortBeforeTheRequestWasWrittenNeverCountsAsExecuted(AttemptResult reason, AttemptResult expected)
+            throws Exception {
+        try (ServerSocket listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+            RecordingHandler handler = new RecordingHandler(64 << 20);
+            UpstreamAttempt attempt = start(openPool("127.0.0.1:" + listener.getLocalPort(), IDLE_US), handler);
+            try (Socket acceptedSocket = listener.accept()) {
+                acceptedSocket.getInputStream().read();
+                loop.submit(() -> attempt.abort(reason)).get();
+                assertEquals(expected, handler.awaitReport().result());
+            }
+        }
+    }
+
     /** The load balancer relies on the connect timeout to start retries only within their deduplication windows. */
     @ParameterizedTest
     @ValueSource(ints = {200, 400})
