Fix the buffer sizes in StreamWindowTest, which the kernel enlarged by chance

Cause: neither buffer had a fixed size. The kernel enlarges the window of a receiver that reads, by 2.3 MB here, so that more than a third of the send buffer was free and the connection was reported as writable.

Change: both buffers have a fixed size, the send buffer the one that the node requests, so that the kernel does not tune them. The read is 40,000 bytes, still less than a third of the send buffer.

--- a/node/src/test/java/tansypass/node/http/StreamWindowTest.java
+++ b/node/src/test/java/tansypass/node/http/StreamWindowTest.java
@@ -8,10 +8,12 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.concurrent.TimeUnit;
@@ -27,8 +29,10 @@
 class StreamWindowTest {
     /** More than the connection's buffers hold. */
     private static final int WRITTEN_BYTES = 16 << 20;
-    /** Less than a third of the smallest send buffer that the kernel gives a connection on loopback. */
-    private static final int READ_BYTES = 300_000;
+    /** A receive buffer of a fixed size, whose window the kernel does not enlarge while it is read. */
+    private static final int RECEIVE_BUFFER_BYTES = 32 * 1024;
+    /** Opens the receiver's window, and is less than a third of the send buffer, at which it is reported as writable. */
+    private static final int READ_BYTES = 40_000;
 
     private EventLoopGroup group;
     private ServerSocket listener;
@@ -39,10 +43,13 @@
     @BeforeEach
     void fillConnection() throws Exception {
         group = new TestEventLoopGroup(NioIoHandler.newFactory());
-        listener = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+        listener = new ServerSocket();
+        listener.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
+        listener.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 1);
         channel = new Bootstrap()
                 .group(group)
                 .channel(NioSocketChannel.class)
+                .option(ChannelOption.SO_SNDBUF, ConnectionBufferLimits.SOCKET_BUFFER_BYTES)
                 .handler(new ChannelInboundHandlerAdapter())
                 .connect(listener.getLocalSocketAddress())
                 .sync()
