Bound the number of header fields, and count heads against the buffered input

Cause: a head had a limit of 16 KiB and none on its fields. 3,800 fields of four bytes need 0.6 MB and more, and nothing counted the heads of all clients together.

Evidence: ManyClientsTest starts a process with the flags of `run`, has 330 clients of one kind and sends ordinary requests beside them. Of nine kinds only the two with heads of short fields failed (OutOfMemoryError; the loop busy for 478 ms), with next to nothing in the counted buffers of heap and direct memory.

Change: over 100 fields get 431. Heads count in HeapBufferLimiter (BodyMemoryLimiter before) until their responses are sent. Over its limit the windows of the maximum number of clients fit into another 6 MiB, and reads are bounded too, so the sum is bounded and not only each part.

--- a/cli/src/main/java/tansypass/cli/MetricsPage.java
+++ b/cli/src/main/java/tansypass/cli/MetricsPage.java
@@ -44,7 +44,7 @@
         addGauge("in_flight", "Requests taken and not ended.");
         addGauge("web_servers_known", "Web servers in the list.");
         addGauge("web_servers_excluded", "Listed web servers that the node avoids now.");
-        addGauge("heap_buffer_bytes", "Heap memory of buffered request bodies and pipelined input.");
+        addGauge("heap_buffer_bytes", "Heap memory of buffered requests and pipelined input.");
         addGauge("direct_memory_bytes", "Direct memory that the buffer allocator has taken.");
         addGauge("direct_memory_limit_bytes", "Limit of the direct memory.");
         addGauge("event_loop_busy_max_ms", "Longest time between two polls of the event loop, in milliseconds.");
--- a/cli/src/test/java/tansypass/cli/ExternalNamesTest.java
+++ b/cli/src/test/java/tansypass/cli/ExternalNamesTest.java
@@ -95,7 +95,7 @@
             # HELP tansypass_event_loop_busy_max_ms Longest time between two polls of the event loop, in milliseconds.
             # TYPE tansypass_event_loop_busy_max_ms gauge
             tansypass_event_loop_busy_max_ms 0.0
-            # HELP tansypass_heap_buffer_bytes Heap memory of buffered request bodies and pipelined input.
+            # HELP tansypass_heap_buffer_bytes Heap memory of buffered requests and pipelined input.
             # TYPE tansypass_heap_buffer_bytes gauge
             tansypass_heap_buffer_bytes 0.0
             # HELP tansypass_in_flight Requests taken and not ended.
--- a/node/src/main/java/tansypass/node/frontend/ConnectionAcceptor.java
+++ b/node/src/main/java/tansypass/node/frontend/ConnectionAcceptor.java
@@ -10,12 +10,15 @@
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.net.SocketAddress;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import tansypass.node.http.BoundedReceiveAllocator;
 import tansypass.node.http.ConnectionBufferLimits;
+import tansypass.node.http.HeapBufferLimiter;
 import tansypass.node.lifecycle.DescriptorLimiter;
 import tansypass.node.lifecycle.ReusePortServerChannel;
 
@@ -32,6 +35,7 @@
 
     private final EventLoop loop;
     private final DescriptorLimiter descriptors;
+    private final HeapBufferLimiter memoryLimiter;
     private final Consumer<ChannelPipeline> initializer;
     /** The channel that listens on the clients' address; null until {@link #listen} is called. */
     private ReusePortServerChannel listener;
@@ -39,11 +43,17 @@
     /**
      * Creates an acceptor that does not listen.
      *
+     * @param memoryLimiter bounds how much is read at once
      * @param initializer sets up the pipeline of an accepted connection
      */
-    ConnectionAcceptor(EventLoop loop, DescriptorLimiter descriptors, Consumer<ChannelPipeline> initializer) {
+    ConnectionAcceptor(
+            EventLoop loop,
+            DescriptorLimiter descriptors,
+            HeapBufferLimiter memoryLimiter,
+            Consumer<ChannelPipeline> initializer) {
         this.loop = loop;
         this.descriptors = descriptors;
+        this.memoryLimiter = memoryLimiter;
         this.initializer = initializer;
     }
 
@@ -86,13 +96,10 @@
      * fill its buffer. A disconnect is therefore seen in the same iteration of the event loop as the bytes sent
      * before it.
      */
-    private static AdaptiveRecvByteBufAllocator createReceiveAllocator() {
-        AdaptiveRecvByteBufAllocator allocator = new AdaptiveRecvByteBufAllocator(
-                ConnectionBufferLimits.MIN_READ_BYTES,
-                ConnectionBufferLimits.INITIAL_READ_BYTES,
-                ConnectionBufferLimits.MAX_READ_BYTES);
+    private RecvByteBufAllocator createReceiveAllocator() {
+        AdaptiveRecvByteBufAllocator allocator = ConnectionBufferLimits.newAdaptiveAllocator();
         allocator.respectMaybeMoreData(false).maxMessagesPerRead(MAX_READS_PER_ITERATION);
-        return allocator;
+        return new BoundedReceiveAllocator(allocator, memoryLimiter::maxReadBytes);
     }
 
     /** Returns whether {@link #listen} has been called. */
--- a/node/src/main/java/tansypass/node/frontend/HttpFrontend.java
+++ b/node/src/main/java/tansypass/node/frontend/HttpFrontend.java
@@ -10,7 +10,7 @@
 import java.util.function.Consumer;
 import tansypass.node.admin.NodeMetrics;
 import tansypass.node.http.BadRequestException;
-import tansypass.node.http.BodyMemoryLimiter;
+import tansypass.node.http.HeapBufferLimiter;
 import tansypass.node.http.RequestBody;
 import tansypass.node.http.StreamMemoryLimiter;
 import tansypass.node.lifecycle.DescriptorLimiter;
@@ -38,7 +38,7 @@
     private final NodeMetrics metrics;
     private final Consumer<Exchange> dispatcher;
     private final StreamMemoryLimiter streamMemoryLimiter;
-    private final BodyMemoryLimiter memoryLimiter = new BodyMemoryLimiter();
+    private final HeapBufferLimiter memoryLimiter;
     private final ConnectionAcceptor acceptor;
     private final ClientConnectionRegistry connections;
     private final LocalResponder localResponder;
@@ -68,7 +68,8 @@
         localResponder = new LocalResponder(lifecycle);
         // Unlike a task that is executed, a timer runs only after the next poll.
         pipelineScheduler = new PipelineScheduler(task -> loop.schedule(task, 0, TimeUnit.NANOSECONDS));
-        acceptor = new ConnectionAcceptor(loop, descriptors, this::addClientHandlers);
+        memoryLimiter = new HeapBufferLimiter(descriptors.maxClients());
+        acceptor = new ConnectionAcceptor(loop, descriptors, memoryLimiter, this::addClientHandlers);
         connections = new ClientConnectionRegistry(loop, lifecycle, descriptors);
         metrics.setHeapBufferGauge(memoryLimiter::usedBytes);
         descriptors.setClientCallbacks(connections::reclaimOne, acceptor::resume);
@@ -141,8 +142,8 @@
         return lifecycle;
     }
 
-    /** Returns the limiter of the memory in which all connections together buffer bodies and input. */
-    BodyMemoryLimiter memoryLimiter() {
+    /** Returns the limiter of the heap memory in which all connections together buffer requests and input. */
+    HeapBufferLimiter memoryLimiter() {
         return memoryLimiter;
     }
 
--- a/node/src/main/java/tansypass/node/frontend/IncomingRequest.java
+++ b/node/src/main/java/tansypass/node/frontend/IncomingRequest.java
@@ -1,6 +1,7 @@
 package tansypass.node.frontend;
 
 import io.netty.handler.codec.http.HttpRequest;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import tansypass.node.http.BadRequestException;
 
@@ -12,6 +13,9 @@
     /** The shortest interval over which the rate is measured. */
     private static final long RATE_WINDOW_MS = 700;
 
+    /** The heap memory of a header field besides its characters: objects of name and value, and an entry in each copy. */
+    private static final int FIELD_OVERHEAD_BYTES = 256;
+
     final HttpRequest head;
     /** The request's exchange; null if the request is invalid or this node responds to it itself. */
     Exchange exchange;
@@ -33,6 +37,20 @@
         this.head = head;
     }
 
+    /**
+     * Estimates the heap memory of the head, in bytes. Its fields are held several times, in copies that share names and
+     * values.
+     */
+    int headMemoryBytes() {
+        int bytes = head.uri().length();
+        for (Map.Entry<String, String> field : head.headers()) {
+            bytes += FIELD_OVERHEAD_BYTES
+                    + field.getKey().length()
+                    + field.getValue().length();
+        }
+        return bytes;
+    }
+
     /** Records that reading from the client is suspended until the server has accepted more of the body. */
     void suspendReading() {
         readingSuspended = true;
--- a/node/src/main/java/tansypass/node/frontend/PipelinedInput.java
+++ b/node/src/main/java/tansypass/node/frontend/PipelinedInput.java
@@ -4,7 +4,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.util.ReferenceCountUtil;
-import tansypass.node.http.BodyMemoryLimiter;
+import tansypass.node.http.HeapBufferLimiter;
 import tansypass.node.http.InboundBuffer;
 import tansypass.node.http.RequestDecoder;
 import tansypass.node.lifecycle.ArrivalEstimator;
@@ -25,7 +25,7 @@
     private long earliestArrivalNs;
 
     /** Creates an empty queue whose bytes count against the limiter. */
-    PipelinedInput(ClientConnection connection, BodyMemoryLimiter memoryLimiter) {
+    PipelinedInput(ClientConnection connection, HeapBufferLimiter memoryLimiter) {
         this.connection = connection;
         undecodedBytes = new InboundBuffer(memoryLimiter);
     }
--- a/node/src/main/java/tansypass/node/frontend/RequestReader.java
+++ b/node/src/main/java/tansypass/node/frontend/RequestReader.java
@@ -38,6 +38,8 @@
     private IncomingRequest incoming;
 
     private boolean lastRequestIsHead;
+    /** The memory that is counted for the head of the request received last, until its response has been sent. */
+    private int countedHeadBytes;
 
     /** Creates the reader of a connection on which nothing has been received. */
     RequestReader(HttpFrontend frontend, ClientConnection connection, Channel channel) {
@@ -51,9 +53,15 @@
         return incoming;
     }
 
-    /** Forgets the request being received, and ignores the remainder of it. */
+    /** Forgets the request received last, and ignores what remains of it if it is still being received. */
     void clear() {
         incoming = null;
+        countHead(0);
+    }
+
+    private void countHead(int bytes) {
+        frontend.memoryLimiter().add(bytes - countedHeadBytes);
+        countedHeadBytes = bytes;
     }
 
     /** Returns whether the request received last has the method HEAD, and its response therefore no body. */
@@ -88,6 +96,7 @@
 
     private void startRequest(HttpRequest head) {
         incoming = new IncomingRequest(head);
+        countHead(incoming.headMemoryBytes());
         lastRequestIsHead = head.method().equals(HttpMethod.HEAD);
         boolean expectsContinue = RequestHeadValidator.hasExpectation(head);
         try {
--- a/node/src/main/java/tansypass/node/http/ConnectionBufferLimits.java
+++ b/node/src/main/java/tansypass/node/http/ConnectionBufferLimits.java
@@ -1,5 +1,6 @@
 package tansypass.node.http;
 
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.WriteBufferWaterMark;
 
 /**
@@ -14,10 +15,10 @@
     public static final WriteBufferWaterMark WATER_MARK = new WriteBufferWaterMark(16 * 1024, 64 * 1024);
 
     /** Smallest size to which the adaptive allocator shrinks a read buffer, in bytes. */
-    public static final int MIN_READ_BYTES = 256;
+    private static final int MIN_READ_BYTES = 256;
 
     /** Initial size of a connection's read buffer, in bytes. */
-    public static final int INITIAL_READ_BYTES = 2_048;
+    private static final int INITIAL_READ_BYTES = 2_048;
 
     /**
      * Largest number of bytes read from a socket at once: it bounds what is in transit when the receiver can't accept
@@ -33,4 +34,9 @@
     public static final int SOCKET_BUFFER_BYTES = 128 * 1024;
 
     private ConnectionBufferLimits() {}
+
+    /** Creates an allocator of receive buffers whose size follows the connection's previous reads. */
+    public static AdaptiveRecvByteBufAllocator newAdaptiveAllocator() {
+        return new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, INITIAL_READ_BYTES, MAX_READ_BYTES);
+    }
 }
--- a/node/src/main/java/tansypass/node/http/InboundBuffer.java
+++ b/node/src/main/java/tansypass/node/http/InboundBuffer.java
@@ -22,12 +22,12 @@
      */
     private record Chunk(ByteBuf bytes, long earliestArrivalNs, int countedBytes) {}
 
-    private final BodyMemoryLimiter memoryLimiter;
+    private final HeapBufferLimiter memoryLimiter;
     private final Deque<Chunk> chunks = new ArrayDeque<>(0);
     private int usedBytes;
 
     /** Creates an empty buffer whose bytes count towards the limiter's total. */
-    public InboundBuffer(BodyMemoryLimiter memoryLimiter) {
+    public InboundBuffer(HeapBufferLimiter memoryLimiter) {
         this.memoryLimiter = memoryLimiter;
     }
 
--- a/node/src/main/java/tansypass/node/http/RequestBody.java
+++ b/node/src/main/java/tansypass/node/http/RequestBody.java
@@ -18,7 +18,7 @@
      */
     private static final int MIN_PART_BYTES = 4_096;
 
-    private final BodyMemoryLimiter memoryLimiter;
+    private final HeapBufferLimiter memoryLimiter;
     private final List<ByteBuf> parts = new ArrayList<>(2);
     /** The open reader, or null if the body is not being read. */
     private Reader reader;
@@ -35,7 +35,7 @@
     private boolean paused;
 
     /** Creates an empty body whose bytes count towards the limiter's total. */
-    public RequestBody(BodyMemoryLimiter memoryLimiter) {
+    public RequestBody(HeapBufferLimiter memoryLimiter) {
         this.memoryLimiter = memoryLimiter;
     }
 
--- a/node/src/main/java/tansypass/node/http/RequestDecoder.java
+++ b/node/src/main/java/tansypass/node/http/RequestDecoder.java
@@ -4,6 +4,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequestDecoder;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.util.AsciiString;
 import java.util.List;
 
@@ -23,9 +24,14 @@
     }
 
     private static final int MAX_CHUNK_BYTES = 8_192;
+    /** Each field costs over a hundred bytes of heap, however short it is. */
+    public static final int MAX_HEADER_FIELDS = 100;
+
     private static final int HTTP_1_VERSION_LENGTH = "HTTP/1.x".length();
 
     private final InputQueue queue;
+    /** The number of header and trailer fields of the present message. */
+    private int fieldCount;
 
     /** Creates a decoder with limits on the length of the request line and of all headers together, in bytes. */
     public RequestDecoder(int maxLineBytes, int maxHeaderBytes, InputQueue queue) {
@@ -44,6 +50,7 @@
 
     @Override
     protected HttpMessage createMessage(String[] initialLine) throws Exception {
+        fieldCount = 0;
         if (!isHttp1(initialLine[2])) {
             throw new MalformedMessageException("not a version of HTTP/1: " + initialLine[2]);
         }
@@ -63,6 +70,10 @@
     @Override
     protected AsciiString splitHeaderName(byte[] line, int start, int length) {
         HttpMessageValidator.requireColon(line, start, length);
+        fieldCount++;
+        if (fieldCount > MAX_HEADER_FIELDS) {
+            throw new TooLongHttpHeaderException("more than " + MAX_HEADER_FIELDS + " header fields");
+        }
         return super.splitHeaderName(line, start, length);
     }
 
--- a/node/src/main/java/tansypass/node/http/StreamMemoryLimiter.java
+++ b/node/src/main/java/tansypass/node/http/StreamMemoryLimiter.java
@@ -63,7 +63,7 @@
     }
 
     /** Returns the largest number of bytes to be read at once from the sender of a message that may be streamed. */
-    int maxReadBytes() {
+    public int maxReadBytes() {
         return isOverLimit() ? reducedReadBytes : ConnectionBufferLimits.MAX_READ_BYTES;
     }
 }
--- a/node/src/main/java/tansypass/node/upstream/UpstreamConnectionPool.java
+++ b/node/src/main/java/tansypass/node/upstream/UpstreamConnectionPool.java
@@ -16,11 +16,11 @@
 import java.util.concurrent.TimeUnit;
 import tansypass.balancer.AttemptResult;
 import tansypass.node.endpoint.EndpointList;
+import tansypass.node.http.BoundedReceiveAllocator;
 import tansypass.node.http.ConnectionBufferLimits;
 import tansypass.node.http.ResponseDecoder;
 import tansypass.node.http.SparseReadCompactor;
 import tansypass.node.http.StreamMemoryLimiter;
-import tansypass.node.http.StreamReceiveAllocator;
 import tansypass.node.lifecycle.DescriptorLimiter;
 
 /**
@@ -83,7 +83,10 @@
                 .option(ChannelOption.SO_SNDBUF, ConnectionBufferLimits.SOCKET_BUFFER_BYTES)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.WRITE_BUFFER_WATER_MARK, ConnectionBufferLimits.WATER_MARK)
-                .option(ChannelOption.RECVBUF_ALLOCATOR, new StreamReceiveAllocator(memoryLimiter));
+                .option(
+                        ChannelOption.RECVBUF_ALLOCATOR,
+                        new BoundedReceiveAllocator(
+                                ConnectionBufferLimits.newAdaptiveAllocator(), memoryLimiter::maxReadBytes));
         descriptors.setServerCallback(this::closeOldestIdle);
         idleCheckTimer = loop.scheduleWithFixedDelay(
                 this::closeExpiredConnections, IDLE_CHECK_INTERVAL_MS, IDLE_CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
--- a/node/src/test/java/tansypass/node/ClientDisconnectTest.java
+++ b/node/src/test/java/tansypass/node/ClientDisconnectTest.java
@@ -19,7 +19,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import tansypass.node.http.BodyMemoryLimiter;
+import tansypass.node.http.HeapBufferLimiter;
 
 /** A request is not forwarded after its client has disconnected, wherever the request waits. */
 @Timeout(120)
@@ -124,7 +124,7 @@
         JsonObject configJson = Fixture.createConfig(discovery.peer, server);
         configJson.add("known", JsonParser.parseString(Fixture.formatEndpointList(41, true, "Terminating", server)));
         node = new RunningNode(configJson);
-        String body = "x".repeat(BodyMemoryLimiter.WINDOW_BYTES + 60_000);
+        String body = "x".repeat(HeapBufferLimiter.WINDOW_BYTES + 60_000);
         Socket client = node.connect();
         FakePeer.write(client, Fixture.formatRequest("POST", "/slow", 1, "", body));
         client.close();
--- a/node/src/test/java/tansypass/node/MemoryLimitedNodeTestBase.java
+++ b/node/src/test/java/tansypass/node/MemoryLimitedNodeTestBase.java
@@ -33,12 +33,16 @@
 
     /** Starts a node with the flags of {@code run}, and waits until it listens. */
     final void startNode(int descriptors) throws Exception {
-        startNode(descriptors, readRunFlags());
+        startNode(descriptors, createConfig());
+    }
+
+    /** Starts a node with another configuration and the flags of {@code run}, and waits until it listens. */
+    final void startNode(int descriptors, JsonObject config) throws Exception {
+        startNode(descriptors, config, readRunFlags());
     }
 
     /** Starts a node with the given flags of the JVM, and waits until it listens. */
-    final void startNode(int descriptors, String jvmFlags) throws Exception {
-        JsonObject config = createConfig();
+    final void startNode(int descriptors, JsonObject config, String jvmFlags) throws Exception {
         config.getAsJsonObject("limits").addProperty("sockets", descriptors);
         try (ServerSocket unused = new ServerSocket(0)) {
             adminPort = unused.getLocalPort();
--- a/node/src/test/java/tansypass/node/ProxyNodeTest.java
+++ b/node/src/test/java/tansypass/node/ProxyNodeTest.java
@@ -252,7 +252,8 @@
                 Map.entry(400, validRequest.replace("X-Org: acme", "X-Org acme")),
                 Map.entry(400, validRequest.replace("HTTP/1.1", "HTTP/2.0")),
                 Map.entry(414, validRequest.replace("/view", "/view/" + "x".repeat(9_000))),
-                Map.entry(431, validRequest.replace("\r\n\r\n", "\r\nX-Long: " + "x".repeat(20_000) + "\r\n\r\n"))));
+                Map.entry(431, validRequest.replace("\r\n\r\n", "\r\nX-Long: " + "x".repeat(20_000) + "\r\n\r\n")),
+                Map.entry(431, validRequest.replace("\r\n\r\n", "\r\nX: 1".repeat(101) + "\r\n\r\n"))));
         for (Map.Entry<Integer, String> testCase : cases) {
             client = Fixture.connect(port);
             String response = sendRequest(testCase.getValue());
--- a/node/src/test/java/tansypass/node/SlowClientsMemoryTest.java
+++ b/node/src/test/java/tansypass/node/SlowClientsMemoryTest.java
@@ -58,6 +58,7 @@
         });
         startNode(
                 DESCRIPTORS,
+                createConfig(),
                 "-XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xmx64m -XX:MaxDirectMemorySize=" + DIRECT_MEMORY_MB + "m");
         // The first responses raise the load balancer's limit of concurrent requests.
         for (int i = 0; i < SHORT_REQUESTS; i++) {
--- a/node/src/test/java/tansypass/node/http/RequestBodyTest.java
+++ b/node/src/test/java/tansypass/node/http/RequestBodyTest.java
@@ -12,7 +12,7 @@
 
 /** The window of a request body, while a client writes the body and a server reads it. */
 class RequestBodyTest {
-    private final BodyMemoryLimiter memoryLimiter = new BodyMemoryLimiter();
+    private final HeapBufferLimiter memoryLimiter = new HeapBufferLimiter(128);
     private final RequestBody body = new RequestBody(memoryLimiter);
     private int windowAvailableCalls;
     private int notReplayableCalls;
@@ -51,16 +51,16 @@
 
     @Test
     void aBodyWithinTheWindowIsReplayable() {
-        add(BodyMemoryLimiter.BUFFER_THRESHOLD_BYTES);
+        add(HeapBufferLimiter.BUFFER_THRESHOLD_BYTES);
         assertFalse(body.isOverBufferThreshold());
         add(1);
         assertTrue(body.isOverBufferThreshold());
         assertFalse(body.isWindowFull());
         RequestBody.Reader first = openReader(() -> {});
-        assertEquals(BodyMemoryLimiter.BUFFER_THRESHOLD_BYTES + 1, readAll(first));
+        assertEquals(HeapBufferLimiter.BUFFER_THRESHOLD_BYTES + 1, readAll(first));
         first.close();
         RequestBody.Reader second = openReader(() -> {});
-        assertEquals(BodyMemoryLimiter.BUFFER_THRESHOLD_BYTES + 1, readAll(second));
+        assertEquals(HeapBufferLimiter.BUFFER_THRESHOLD_BYTES + 1, readAll(second));
         assertFalse(second.isFullyRead());
         body.complete();
         assertTrue(second.isFullyRead());
@@ -75,7 +75,7 @@
             add(10_000);
             addedBytes += 10_000;
         }
-        assertTrue(addedBytes < BodyMemoryLimiter.WINDOW_BYTES + 10_000, "buffered " + addedBytes);
+        assertTrue(addedBytes < HeapBufferLimiter.WINDOW_BYTES + 10_000, "buffered " + addedBytes);
         assertEquals(0, windowAvailableCalls + notReplayableCalls);
         RequestBody.Reader reader = openReader(() -> {});
         reader.readNextOrNull().release();
@@ -89,7 +89,7 @@
             add(10_000);
             readAll(reader);
             assertTrue(
-                    memoryLimiter.usedBytes() <= BodyMemoryLimiter.WINDOW_BYTES + 10_000,
+                    memoryLimiter.usedBytes() <= HeapBufferLimiter.WINDOW_BYTES + 10_000,
                     "buffered " + memoryLimiter.usedBytes());
         }
         assertEquals(1, notReplayableCalls, "notified once");
--- a/node/src/test/java/tansypass/node/http/StreamMemoryLimiterTest.java
+++ b/node/src/test/java/tansypass/node/http/StreamMemoryLimiterTest.java
@@ -75,7 +75,7 @@
 
     @Test
     void requestsOfAllClientsFitIntoMemoryIfNoWebServerReads() {
-        BodyMemoryLimiter bodyLimiter = new BodyMemoryLimiter();
+        HeapBufferLimiter bodyLimiter = new HeapBufferLimiter(128);
         List<RequestBody> bodies = new ArrayList<>();
         for (int i = 0; i < MAX_STREAMS; i++) {
             BlockableChannel channel = openChannel();
--- a/node/src/test/java/tansypass/node/upstream/RetriedUploadTest.java
+++ b/node/src/test/java/tansypass/node/upstream/RetriedUploadTest.java
@@ -19,7 +19,7 @@
 import org.junit.jupiter.api.Timeout;
 import tansypass.balancer.AttemptResult;
 import tansypass.node.FakePeer;
-import tansypass.node.http.BodyMemoryLimiter;
+import tansypass.node.http.HeapBufferLimiter;
 import tansypass.node.http.RequestBody;
 import tansypass.node.http.UpstreamResponse;
 
@@ -29,7 +29,7 @@
     private static final int HALF_BYTES = 50_000;
     private static final String RESPONSE = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone";
 
-    private final RequestBody body = new RequestBody(new BodyMemoryLimiter());
+    private final RequestBody body = new RequestBody(new HeapBufferLimiter(128));
     private UpstreamConnectionPool pool;
 
     /** Streams the body, and starts the given number of retries as soon as an attempt fails. */
