Write buffered responses in parts, and count them while they are buffered

Cause: a response of up to 64 KiB was copied to direct memory as a whole, and up to two waited for each client. While they arrived from the web servers, they were not counted on the heap either.

Evidence: node.direct_memory_bytes at its limit, node.heap_buffer_bytes at 1.2 MB, the loop busy for 46 ms at most.

Change: a response over 8 KiB is written in parts as fast as its client reads. What remains of it counts in HeapBufferLimiter, as does a response that is being received; over the limit, longer responses are relayed as they arrive. BufferLimiters holds both limiters.

--- a/node/src/main/java/tansypass/node/frontend/ClientConnection.java
+++ b/node/src/main/java/tansypass/node/frontend/ClientConnection.java
@@ -40,9 +40,9 @@
     public ClientConnection(HttpFrontend frontend, Channel channel) {
         this.frontend = frontend;
         this.channel = channel;
-        pipelined = new PipelinedInput(this, frontend.memoryLimiter());
+        pipelined = new PipelinedInput(this, frontend.limiters().heap());
         reader = new RequestReader(frontend, this, channel);
-        writer = new ResponseWriter(this, channel, frontend.streamMemoryLimiter());
+        writer = new ResponseWriter(this, channel, frontend.limiters());
         timeouts = new ClientTimeouts(this, channel);
     }
 
--- a/node/src/main/java/tansypass/node/frontend/HttpFrontend.java
+++ b/node/src/main/java/tansypass/node/frontend/HttpFrontend.java
@@ -10,9 +10,8 @@
 import java.util.function.Consumer;
 import tansypass.node.admin.NodeMetrics;
 import tansypass.node.http.BadRequestException;
-import tansypass.node.http.HeapBufferLimiter;
+import tansypass.node.http.BufferLimiters;
 import tansypass.node.http.RequestBody;
-import tansypass.node.http.StreamMemoryLimiter;
 import tansypass.node.lifecycle.DescriptorLimiter;
 import tansypass.node.lifecycle.Lifecycle;
 
@@ -37,8 +36,7 @@
     private final Lifecycle lifecycle;
     private final NodeMetrics metrics;
     private final Consumer<Exchange> dispatcher;
-    private final StreamMemoryLimiter streamMemoryLimiter;
-    private final HeapBufferLimiter memoryLimiter;
+    private final BufferLimiters limiters;
     private final ConnectionAcceptor acceptor;
     private final ClientConnectionRegistry connections;
     private final LocalResponder localResponder;
@@ -47,20 +45,20 @@
     /**
      * Creates a frontend that does not listen yet.
      *
-     * @param streamMemoryLimiter bounds the memory of responses that wait for their clients
+     * @param limiters bound the memory of buffered messages
      * @param dispatcher receives each request once: when it is complete, or earlier if its body is long
      */
     public HttpFrontend(
             EventLoop loop,
             DescriptorLimiter descriptors,
-            StreamMemoryLimiter streamMemoryLimiter,
+            BufferLimiters limiters,
             ClientRequestParser parser,
             Lifecycle lifecycle,
             NodeMetrics metrics,
             Consumer<Exchange> dispatcher) {
         this.loop = loop;
         this.descriptors = descriptors;
-        this.streamMemoryLimiter = streamMemoryLimiter;
+        this.limiters = limiters;
         this.parser = parser;
         this.lifecycle = lifecycle;
         this.metrics = metrics;
@@ -68,10 +66,9 @@
         localResponder = new LocalResponder(lifecycle);
         // Unlike a task that is executed, a timer runs only after the next poll.
         pipelineScheduler = new PipelineScheduler(task -> loop.schedule(task, 0, TimeUnit.NANOSECONDS));
-        memoryLimiter = new HeapBufferLimiter(descriptors.maxClients());
-        acceptor = new ConnectionAcceptor(loop, descriptors, memoryLimiter, this::addClientHandlers);
+        acceptor = new ConnectionAcceptor(loop, descriptors, limiters.heap(), this::addClientHandlers);
         connections = new ClientConnectionRegistry(loop, lifecycle, descriptors);
-        metrics.setHeapBufferGauge(memoryLimiter::usedBytes);
+        metrics.setHeapBufferGauge(limiters.heap()::usedBytes);
         descriptors.setClientCallbacks(connections::reclaimOne, acceptor::resume);
     }
 
@@ -142,14 +139,9 @@
         return lifecycle;
     }
 
-    /** Returns the limiter of the heap memory in which all connections together buffer requests and input. */
-    HeapBufferLimiter memoryLimiter() {
-        return memoryLimiter;
-    }
-
-    /** Returns the limiter of the memory of responses that wait for their clients. */
-    StreamMemoryLimiter streamMemoryLimiter() {
-        return streamMemoryLimiter;
+    /** Returns the limiters of the memory in which all connections together buffer messages. */
+    BufferLimiters limiters() {
+        return limiters;
     }
 
     /** Returns the scheduler of the pipelined input of all connections. */
@@ -173,7 +165,7 @@
      * @throws BadRequestException if the head is invalid; it holds the status of the response
      */
     Exchange createExchange(ClientConnection connection, HttpRequest head) throws BadRequestException {
-        return new Exchange(connection, metrics, parser.parse(head, new RequestBody(memoryLimiter)), head);
+        return new Exchange(connection, metrics, parser.parse(head, new RequestBody(limiters.heap())), head);
     }
 
     /** Passes a request to the dispatcher, which may respond to it before this method returns. */
--- a/node/src/main/java/tansypass/node/frontend/IncomingRequest.java
+++ b/node/src/main/java/tansypass/node/frontend/IncomingRequest.java
@@ -13,7 +13,7 @@
     /** The shortest interval over which the rate is measured. */
     private static final long RATE_WINDOW_MS = 700;
 
-    /** The heap memory of a header field besides its characters: objects of name and value, and an entry in each copy. */
+    /** The heap memory of a header field besides its characters: objects for name and value, an entry in each copy. */
     private static final int FIELD_OVERHEAD_BYTES = 256;
 
     final HttpRequest head;
@@ -38,8 +38,8 @@
     }
 
     /**
-     * Estimates the heap memory of the head, in bytes. Its fields are held several times, in copies that share names and
-     * values.
+     * Estimates the heap memory of the head, in bytes. Its fields are held several times, in copies that share names
+     * and values.
      */
     int headMemoryBytes() {
         int bytes = head.uri().length();
--- a/node/src/main/java/tansypass/node/frontend/RequestReader.java
+++ b/node/src/main/java/tansypass/node/frontend/RequestReader.java
@@ -60,7 +60,7 @@
     }
 
     private void countHead(int bytes) {
-        frontend.memoryLimiter().add(bytes - countedHeadBytes);
+        frontend.limiters().heap().add(bytes - countedHeadBytes);
         countedHeadBytes = bytes;
     }
 
--- a/node/src/main/java/tansypass/node/frontend/ResponseWriter.java
+++ b/node/src/main/java/tansypass/node/frontend/ResponseWriter.java
@@ -5,15 +5,19 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelPromise;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.concurrent.PromiseNotifier;
 import java.util.concurrent.TimeUnit;
-import tansypass.node.http.StreamMemoryLimiter;
+import tansypass.node.http.BufferLimiters;
+import tansypass.node.http.HeapBufferLimiter;
 import tansypass.node.http.StreamWindow;
 
 /**
@@ -35,6 +39,10 @@
     private final ClientConnection connection;
     private final Channel channel;
     private final StreamWindow window;
+    private final HeapBufferLimiter heapLimiter;
+    /** The complete response that is being written part by part; null if there is none. */
+    private BufferedResponseBody bufferedBody;
+
     private int unwrittenResponses;
     private boolean closing;
     /** Runs when the channel accepts more of the streamed response; null if no response is being streamed. */
@@ -43,10 +51,11 @@
     private boolean keepAliveAfterStream;
 
     /** Creates the writer of an open connection. */
-    ResponseWriter(ClientConnection connection, Channel channel, StreamMemoryLimiter memoryLimiter) {
+    ResponseWriter(ClientConnection connection, Channel channel, BufferLimiters limiters) {
         this.connection = connection;
         this.channel = channel;
-        window = new StreamWindow(channel, memoryLimiter);
+        window = new StreamWindow(channel, limiters.direct());
+        heapLimiter = limiters.heap();
     }
 
     /** Returns whether the connection serves no further request. */
@@ -77,11 +86,45 @@
      * @return a future that completes when the response has been written
      */
     ChannelFuture sendResponse(FullHttpResponse response, boolean keepAlive) {
+        window.resize();
+        if (response.content().readableBytes() > BufferedResponseBody.PART_BYTES && !connection.isHeadRequest()) {
+            return sendInParts(response, keepAlive);
+        }
         boolean keepOpen = canKeepAlive(keepAlive);
         FullHttpResponse sent = connection.isHeadRequest() ? response.replace(Unpooled.EMPTY_BUFFER) : response;
         return endResponse(channel.writeAndFlush(keepOpen ? sent : withConnectionClose(sent)), keepOpen);
     }
 
+    /** Writes a response as fast as the client reads it, so that little of it waits in direct memory. */
+    private ChannelFuture sendInParts(FullHttpResponse response, boolean keepAlive) {
+        HttpResponse head = new DefaultHttpResponse(response.protocolVersion(), response.status(), response.headers());
+        BufferedResponseBody body = new BufferedResponseBody(response.content(), heapLimiter, channel.newPromise());
+        bufferedBody = body;
+        startResponse(head, keepAlive, this::writeBufferedParts);
+        writeBufferedParts();
+        return body.written();
+    }
+
+    private void writeBufferedParts() {
+        while (bufferedBody.hasNext() && channel.isWritable()) {
+            writePart(bufferedBody.next());
+        }
+        if (bufferedBody.hasNext()) {
+            flush();
+            return;
+        }
+        ChannelPromise written = bufferedBody.written();
+        dropBufferedBody();
+        PromiseNotifier.cascade(finishResponse(), written);
+    }
+
+    private void dropBufferedBody() {
+        if (bufferedBody != null) {
+            bufferedBody.close();
+            bufferedBody = null;
+        }
+    }
+
     /**
      * Sends an error response as the connection's last response, and closes the connection. Its other requests are
      * not served.
@@ -141,7 +184,9 @@
     /** Ends the streamed response. The returned future completes when all of it has been written. */
     ChannelFuture finishResponse() {
         whenWritable = null;
-        return endResponse(channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT), keepAliveAfterStream);
+        // The connection may have become unusable for a further request since the head was written.
+        boolean keepOpen = keepAliveAfterStream && !closing;
+        return endResponse(channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT), keepOpen);
     }
 
     /** Stops counting the bytes that wait, because the channel has ended. */
@@ -149,9 +194,10 @@
         window.updateUsage();
     }
 
-    /** Stops notifying the source of the streamed response. */
+    /** Stops notifying the source of the streamed response, and drops what remains of a buffered one. */
     void stopStreaming() {
         whenWritable = null;
+        dropBufferedBody();
     }
 
     /**
@@ -160,7 +206,7 @@
      */
     void abort() {
         connection.clearRequestInFlight();
-        whenWritable = null;
+        stopStreaming();
         channel.config().setOption(ChannelOption.SO_LINGER, 0);
         channel.close();
     }
--- a/node/src/main/java/tansypass/node/http/HeapBufferLimiter.java
+++ b/node/src/main/java/tansypass/node/http/HeapBufferLimiter.java
@@ -3,10 +3,10 @@
 import java.util.concurrent.atomic.AtomicLong;
 
 /**
- * Bounds the heap memory of what all connections buffer together: heads and bodies of requests, and pipelined input.
- * Above a limit, each body gets a lower buffer threshold and a smaller window, and less is read at once, so that the
- * buffers of the maximum number of clients fit into a second part of the same size. Used on one event loop only, except
- * as noted.
+ * Bounds the heap memory of what all connections buffer together: heads and bodies of requests, pipelined input, and
+ * responses. Above a limit, each body gets a lower buffer threshold and a smaller window, and less is read at once, so
+ * that the buffers of the maximum number of clients fit into a second part of the same size. Used on one event loop
+ * only, except as noted.
  */
 public final class HeapBufferLimiter {
     /** Length of the longest body that is received completely before it is forwarded. */
@@ -55,6 +55,11 @@
         return isOverLimit() ? reducedWindowBytes : WINDOW_BYTES;
     }
 
+    /** Returns the length of the longest response that is received completely before it is forwarded. */
+    int maxResponseBytes() {
+        return isOverLimit() ? reducedWindowBytes / THRESHOLD_DIVISOR : ResponseReader.MAX_BUFFERED_BYTES;
+    }
+
     /** Returns the largest number of bytes to be read at once from a client. */
     public int maxReadBytes() {
         return isOverLimit() ? reducedWindowBytes / READ_DIVISOR : ConnectionBufferLimits.MAX_READ_BYTES;
--- a/node/src/main/java/tansypass/node/http/RequestBodyWriter.java
+++ b/node/src/main/java/tansypass/node/http/RequestBodyWriter.java
@@ -7,8 +7,8 @@
 import io.netty.handler.codec.http.LastHttpContent;
 
 /**
- * Writes a request body to a server while it is received, and only as long as the channel is writable. The last chunk is
- * written only after all parts: a body that ends early must not look complete to the server.
+ * Writes a request body to a server while it is received, and only as long as the channel is writable. The last chunk
+ * is written only after all parts: a body that ends early must not look complete to the server.
  */
 public final class RequestBodyWriter implements RequestBody.Listener {
     /** Receives the end of the body. */
--- a/node/src/main/java/tansypass/node/http/ResponseReader.java
+++ b/node/src/main/java/tansypass/node/http/ResponseReader.java
@@ -16,7 +16,7 @@
  * if it turns out to be malformed. A long response is streamed to a sink. Used on one event loop only.
  */
 public final class ResponseReader {
-    /** Length of the longest response body that is buffered completely. */
+    /** Length of the longest response body that is buffered completely; less while much memory is in use. */
     public static final int MAX_BUFFERED_BYTES = 64 * 1024;
 
     private static final String REJECTED_HEADER = "X-Turned-Away";
@@ -34,12 +34,21 @@
         MALFORMED
     }
 
+    private final HeapBufferLimiter memoryLimiter;
     private HttpResponse head;
     private ByteBuf bufferedBody = Unpooled.EMPTY_BUFFER;
     private ResponseBodySink sink;
+    /** The memory that is counted for the buffer. */
+    private int countedBytes;
+
     private long skippedBytes;
     private boolean complete;
 
+    /** Creates a reader whose buffer counts towards the limiter's total. */
+    public ResponseReader(HeapBufferLimiter memoryLimiter) {
+        this.memoryLimiter = memoryLimiter;
+    }
+
     /** Processes a decoded part of the response. The caller must release the part. */
     public State read(HttpObject message) {
         if (message.decoderResult().isFailure()) {
@@ -58,16 +67,28 @@
             }
         }
         if (isSuccess()) {
-            return sink == null
-                            && (bufferedBody.readableBytes() > MAX_BUFFERED_BYTES
-                                    || HttpUtil.getContentLength(head, 0L) > MAX_BUFFERED_BYTES)
-                    ? State.LONG
-                    : State.INCOMPLETE;
+            return sink == null && isTooLongToBuffer() ? State.LONG : State.INCOMPLETE;
         }
         // Only the head of an unsuccessful response is used: its body is skipped, up to a limit.
         return skippedBytes > MAX_BUFFERED_BYTES ? State.COMPLETE : State.INCOMPLETE;
     }
 
+    private boolean isTooLongToBuffer() {
+        int maxBytes = memoryLimiter.maxResponseBytes();
+        return bufferedBody.readableBytes() > maxBytes || HttpUtil.getContentLength(head, 0L) > maxBytes;
+    }
+
+    private void countBuffer(int bytes) {
+        memoryLimiter.add(bytes - countedBytes);
+        countedBytes = bytes;
+    }
+
+    /** Drops the buffer. Must be called when the response is not read further; further calls have no effect. */
+    public void close() {
+        bufferedBody = Unpooled.EMPTY_BUFFER;
+        countBuffer(0);
+    }
+
     /**
      * Returns whether the response has an unsupported transfer coding, or switches protocols, which the node never
      * requests.
@@ -86,6 +107,7 @@
         } else if (part.isReadable()) {
             bufferedBody = bufferedBody == Unpooled.EMPTY_BUFFER ? Unpooled.buffer(part.readableBytes()) : bufferedBody;
             bufferedBody.writeBytes(part);
+            countBuffer(bufferedBody.capacity());
         }
     }
 
@@ -108,7 +130,7 @@
         sink = destination;
         sink.write(bufferedBody);
         sink.flush();
-        bufferedBody = Unpooled.EMPTY_BUFFER;
+        close();
     }
 
     /** Returns whether the response is streamed to a sink instead of being buffered. */
@@ -165,6 +187,7 @@
     public UpstreamResponse takeBuffered() {
         byte[] body = bufferedBody.isReadable() ? new byte[bufferedBody.readableBytes()] : EMPTY_BODY;
         bufferedBody.readBytes(body);
+        close();
         return new UpstreamResponse(head.status().code(), contentTypeOrNull(), body);
     }
 }
--- a/node/src/main/java/tansypass/node/process/ProxyNode.java
+++ b/node/src/main/java/tansypass/node/process/ProxyNode.java
@@ -21,7 +21,7 @@
 import tansypass.node.configuration.NodeConfig;
 import tansypass.node.frontend.ClientRequestParser;
 import tansypass.node.frontend.HttpFrontend;
-import tansypass.node.http.StreamMemoryLimiter;
+import tansypass.node.http.BufferLimiters;
 import tansypass.node.lifecycle.DescriptorLimiter;
 import tansypass.node.lifecycle.DirectMemory;
 import tansypass.node.lifecycle.EventLoopMonitor;
@@ -90,25 +90,14 @@
                 settings.classes().stream().map(RequestClass::name).toList());
         balancer = new BalancerExecutor(loop, metrics);
         DescriptorLimiter descriptors = new DescriptorLimiter(config.maxDescriptors());
-        StreamMemoryLimiter streamMemory = new StreamMemoryLimiter(DirectMemory.limitBytes(), descriptors.maxClients());
+        BufferLimiters limiters = new BufferLimiters(DirectMemory.limitBytes(), descriptors.maxClients());
         pool = new UpstreamConnectionPool(
-                loop,
-                descriptors,
-                streamMemory,
-                settings.connectTimeoutUs(),
-                settings.connectionIdleUs(),
-                quarantineMs);
+                loop, descriptors, limiters, settings.connectTimeoutUs(), settings.connectionIdleUs(), quarantineMs);
         endpoints = new EndpointListAdapter(config, loop, balancer, pool);
         dispatcher = new RequestDispatcher(balancer, pool, endpoints, metrics);
         balancer.setBalancer(new WeightedTwoChoicesLoadBalancer(settings, config.seed(), dispatcher));
         frontend = new HttpFrontend(
-                loop,
-                descriptors,
-                streamMemory,
-                new ClientRequestParser(settings),
-                lifecycle,
-                metrics,
-                dispatcher::accept);
+                loop, descriptors, limiters, new ClientRequestParser(settings), lifecycle, metrics, dispatcher::accept);
     }
 
     /**
--- a/node/src/main/java/tansypass/node/upstream/UpstreamConnection.java
+++ b/node/src/main/java/tansypass/node/upstream/UpstreamConnection.java
@@ -6,7 +6,7 @@
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.util.ReferenceCountUtil;
 import tansypass.balancer.AttemptResult;
-import tansypass.node.http.StreamMemoryLimiter;
+import tansypass.node.http.BufferLimiters;
 
 /**
  * One connection to a server, which is idle or carries one attempt. Its {@link UpstreamExchange} writes the request and
@@ -24,11 +24,11 @@
     private long idleSinceNanos;
 
     /** Creates the connection of a channel that is about to connect, with the server's current generation. */
-    UpstreamConnection(UpstreamServer server, int generation, Channel channel, StreamMemoryLimiter memoryLimiter) {
+    UpstreamConnection(UpstreamServer server, int generation, Channel channel, BufferLimiters limiters) {
         this.server = server;
         this.generation = generation;
         this.channel = channel;
-        exchange = new UpstreamExchange(channel, server.loop(), memoryLimiter, this);
+        exchange = new UpstreamExchange(channel, server.loop(), limiters, this);
     }
 
     /** Called when the connection has been established and is available for attempts. */
--- a/node/src/main/java/tansypass/node/upstream/UpstreamConnectionPool.java
+++ b/node/src/main/java/tansypass/node/upstream/UpstreamConnectionPool.java
@@ -17,10 +17,10 @@
 import tansypass.balancer.AttemptResult;
 import tansypass.node.endpoint.EndpointList;
 import tansypass.node.http.BoundedReceiveAllocator;
+import tansypass.node.http.BufferLimiters;
 import tansypass.node.http.ConnectionBufferLimits;
 import tansypass.node.http.ResponseDecoder;
 import tansypass.node.http.SparseReadCompactor;
-import tansypass.node.http.StreamMemoryLimiter;
 import tansypass.node.lifecycle.DescriptorLimiter;
 
 /**
@@ -43,7 +43,7 @@
 
     private final EventLoop loop;
     private final DescriptorLimiter descriptors;
-    private final StreamMemoryLimiter memoryLimiter;
+    private final BufferLimiters limiters;
     private final int connectTimeoutMs;
     private final Bootstrap bootstrap;
     private final long idleTimeoutNanos;
@@ -54,7 +54,7 @@
     /**
      * Creates a pool without servers.
      *
-     * @param memoryLimiter bounds the memory of streamed messages
+     * @param limiters bounds the memory of streamed messages
      * @param connectTimeoutUs the time after which a connect fails, in microseconds
      * @param serverIdleTimeoutUs the time after which servers close an idle connection, in microseconds; the pool
      *     closes it after half of that time
@@ -63,13 +63,13 @@
     public UpstreamConnectionPool(
             EventLoop loop,
             DescriptorLimiter descriptors,
-            StreamMemoryLimiter memoryLimiter,
+            BufferLimiters limiters,
             long connectTimeoutUs,
             long serverIdleTimeoutUs,
             long quarantineMs) {
         this.loop = loop;
         this.descriptors = descriptors;
-        this.memoryLimiter = memoryLimiter;
+        this.limiters = limiters;
         // The pool closes idle connections before the servers do. If a server closes a connection just as a request is
         // written to it, it is unknown whether the request was executed.
         idleTimeoutNanos = TimeUnit.MICROSECONDS.toNanos(serverIdleTimeoutUs) / 2;
@@ -86,7 +86,7 @@
                 .option(
                         ChannelOption.RECVBUF_ALLOCATOR,
                         new BoundedReceiveAllocator(
-                                ConnectionBufferLimits.newAdaptiveAllocator(), memoryLimiter::maxReadBytes));
+                                ConnectionBufferLimits.newAdaptiveAllocator(), limiters.direct()::maxReadBytes));
         descriptors.setServerCallback(this::closeOldestIdle);
         idleCheckTimer = loop.scheduleWithFixedDelay(
                 this::closeExpiredConnections, IDLE_CHECK_INTERVAL_MS, IDLE_CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
@@ -167,7 +167,7 @@
             return;
         }
         channel.closeFuture().addListener(closed -> descriptors.removeServer());
-        UpstreamConnection connection = new UpstreamConnection(server, generation, channel, memoryLimiter);
+        UpstreamConnection connection = new UpstreamConnection(server, generation, channel, limiters);
         bootstrap
                 .clone()
                 .channelFactory(() -> channel)
--- a/node/src/main/java/tansypass/node/upstream/UpstreamExchange.java
+++ b/node/src/main/java/tansypass/node/upstream/UpstreamExchange.java
@@ -9,11 +9,11 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import tansypass.balancer.AttemptResult;
+import tansypass.node.http.BufferLimiters;
 import tansypass.node.http.ProgressTimeout;
 import tansypass.node.http.RequestBodyWriter;
 import tansypass.node.http.ResponseBodySink;
 import tansypass.node.http.ResponseReader;
-import tansypass.node.http.StreamMemoryLimiter;
 import tansypass.node.http.StreamWindow;
 import tansypass.node.http.UpstreamResponse;
 
@@ -45,6 +45,7 @@
 
     private final Channel channel;
     private final EventLoop loop;
+    private final BufferLimiters limiters;
     private final Listener listener;
     private final ProgressTimeout stallTimeout;
     /** The window for the bodies of requests. */
@@ -70,11 +71,12 @@
     private ScheduledFuture<?> bufferingTimer;
 
     /** Creates the object for the exchanges on a channel. None is in progress. */
-    UpstreamExchange(Channel channel, EventLoop loop, StreamMemoryLimiter memoryLimiter, Listener listener) {
+    UpstreamExchange(Channel channel, EventLoop loop, BufferLimiters limiters, Listener listener) {
         this.channel = channel;
         this.loop = loop;
+        this.limiters = limiters;
         this.listener = listener;
-        window = new StreamWindow(channel, memoryLimiter);
+        window = new StreamWindow(channel, limiters.direct());
         stallTimeout = new ProgressTimeout(loop, this::hasReceiverAdvanced, this::onStall);
     }
 
@@ -94,7 +96,7 @@
         requestWritten = false;
         bodyWriter = null;
         waitingForClient = false;
-        response = new ResponseReader();
+        response = new ResponseReader(limiters.heap());
         unreportedResult = null;
         HttpRequest message = newAttempt.handler().createMessage();
         if (message instanceof FullHttpRequest) {
@@ -142,6 +144,7 @@
                 writtenAttempt.handler().onRequestWritten();
             } else {
                 attempt = null;
+                response.close();
                 channel.close();
                 writtenAttempt.end(AttemptResult.CONNECT_FAILED, null);
             }
@@ -156,6 +159,7 @@
     boolean abort() {
         attempt = null;
         stopTimers();
+        response.close();
         channel.close();
         return requestWritten;
     }
@@ -301,6 +305,7 @@
         ResponseBodySink sink = response.sinkOrNull();
         UpstreamResponse buffered = sink == null ? response.takeBuffered() : null;
         stopTimers();
+        response.close();
         attempt = null;
         unreportedResult = null;
         listener.onExchangeComplete(reusable);
@@ -320,6 +325,7 @@
         }
         attempt = null;
         stopTimers();
+        response.close();
         listener.onConnectionBroken();
         failed.end(requestWritten ? AttemptResult.RESET : AttemptResult.CONNECT_FAILED, null);
     }
--- a/node/src/test/java/tansypass/node/ExternalNamesTest.java
+++ b/node/src/test/java/tansypass/node/ExternalNamesTest.java
@@ -187,7 +187,7 @@
             HttpFrontend frontend = new HttpFrontend(
                     loop,
                     new DescriptorLimiter(1_024),
-                    Fixture.newStreamMemoryLimiter(),
+                    Fixture.newBufferLimiters(),
                     parser,
                     new Lifecycle(),
                     metrics,
@@ -242,7 +242,7 @@
             HttpFrontend frontend = new HttpFrontend(
                     channel.eventLoop(),
                     new DescriptorLimiter(1_024),
-                    Fixture.newStreamMemoryLimiter(),
+                    Fixture.newBufferLimiters(),
                     new ClientRequestParser(config.settings()),
                     new Lifecycle(),
                     new NodeMetrics(List.of("view", "photo", "order", "slow")),
--- a/node/src/test/java/tansypass/node/Fixture.java
+++ b/node/src/test/java/tansypass/node/Fixture.java
@@ -19,7 +19,7 @@
 import java.util.concurrent.TimeUnit;
 import tansypass.node.configuration.InvalidNodeConfigException;
 import tansypass.node.configuration.NodeConfig;
-import tansypass.node.http.StreamMemoryLimiter;
+import tansypass.node.http.BufferLimiters;
 import tansypass.platform.EnvironmentConfigSource;
 
 /** Creates configurations, requests, endpoint lists and connections for the tests. */
@@ -44,9 +44,9 @@
 
     private Fixture() {}
 
-    /** Creates a limiter for as much direct memory as a node on the platform has. */
-    static StreamMemoryLimiter newStreamMemoryLimiter() {
-        return new StreamMemoryLimiter(DIRECT_MEMORY_BYTES, MAX_STREAMS);
+    /** Creates limiters for as much direct memory and as many clients as a node on the platform has. */
+    static BufferLimiters newBufferLimiters() {
+        return new BufferLimiters(DIRECT_MEMORY_BYTES, MAX_STREAMS);
     }
 
     /** Connects to a port on loopback. A read from the socket times out after {@link FakePeer#AWAIT_TIMEOUT_S}. */
--- a/node/src/test/java/tansypass/node/LeftUploadTest.java
+++ b/node/src/test/java/tansypass/node/LeftUploadTest.java
@@ -62,8 +62,10 @@
         }
     }
 
-    /** Guards against a web server that runs a part of a request, whose end was dropped when its client left, and against
-     * one whose connection stays open because nobody ends the attempt. */
+    /**
+     * Guards against a web server that runs a part of a request, whose end was dropped when its client left, and against
+     * a connection to it that stays open because nobody ends the attempt.
+     */
     @ParameterizedTest
     @ValueSource(booleans = {true, false})
     void closesConnectionInTheMiddleOfRequestWhoseClientHasLeft(boolean chunked) throws Exception {
--- a/node/src/test/java/tansypass/node/ManyClientsTest.java
+++ b/node/src/test/java/tansypass/node/ManyClientsTest.java
@@ -28,7 +28,7 @@
     private static final int SLOW_CLIENTS = 330;
 
     private static final int SERVERS = 4;
-    /** The length of the endpoint list, which has each server several times: the load balancer limits requests for each. */
+    /** The length of the endpoint list. It has each server several times, since each entry has a limit of requests. */
     private static final int ENDPOINTS = 100;
 
     private static final int WARM_UP_REQUESTS = 200;
@@ -101,6 +101,23 @@
                 }
             }
         },
+        /** Sends heads of nearly the allowed size, whose responses take long and are just short enough for a buffer. */
+        SENDS_LARGE_HEADS {
+            @Override
+            void run(Socket client, long id, SplittableRandom random) throws IOException {
+                StringBuilder fields = new StringBuilder();
+                for (int i = 0; i < 95; i++) {
+                    fields.append("x-")
+                            .append(i)
+                            .append(": ")
+                            .append("v".repeat(random.nextInt(100, 150)))
+                            .append("\r\n");
+                }
+                String query = "?length=" + MAX_BUFFERED_RESPONSE_BYTES + "&write=20000&piece=1000";
+                FakePeer.write(client, Fixture.formatRequest("GET", "/view" + query, id, fields.toString(), ""));
+                awaitEnd(client);
+            }
+        },
         /** Requests responses that are just short enough to be buffered, which the web server sends slowly. */
         AWAITS_SLOW_RESPONSE {
             @Override
@@ -108,7 +125,7 @@
                 String query =
                         "?length=" + MAX_BUFFERED_RESPONSE_BYTES + "&write=12000&piece=" + random.nextInt(1, 500);
                 FakePeer.write(client, Fixture.formatRequest("GET", "/view" + query, id, "", ""));
-                FakePeer.readMessage(client);
+                awaitEnd(client);
             }
         },
         /** Reads a long response slowly. */
@@ -129,8 +146,8 @@
         READS_NOTHING_OF_MANY_RESPONSES {
             @Override
             void run(Socket client, long id, SplittableRandom random) throws IOException {
-                for (int i = 0; i < 12; i++) {
-                    String query = "?length=" + (MAX_BUFFERED_RESPONSE_BYTES - 1);
+                for (int i = 0; i < 40; i++) {
+                    String query = "?length=" + random.nextInt(20_000, MAX_BUFFERED_RESPONSE_BYTES);
                     FakePeer.write(
                             client, Fixture.formatRequest("GET", "/view" + query, id + ((long) i << 32), "", ""));
                 }
--- a/node/src/test/java/tansypass/node/StreamedResponseTest.java
+++ b/node/src/test/java/tansypass/node/StreamedResponseTest.java
@@ -336,7 +336,7 @@
                 .submit(() -> new UpstreamConnectionPool(
                         node.loop,
                         new DescriptorLimiter(1_024),
-                        Fixture.newStreamMemoryLimiter(),
+                        Fixture.newBufferLimiters(),
                         300_000,
                         60_000_000,
                         UpstreamConnectionPool.QUARANTINE_MS))
--- a/node/src/test/java/tansypass/node/UnreadResponsesTest.java
+++ b/node/src/test/java/tansypass/node/UnreadResponsesTest.java
@@ -44,7 +44,7 @@
         frontend = new HttpFrontend(
                 client.eventLoop(),
                 new DescriptorLimiter(1_024),
-                Fixture.newStreamMemoryLimiter(),
+                Fixture.newBufferLimiters(),
                 new ClientRequestParser(config.settings()),
                 new Lifecycle(),
                 new NodeMetrics(List.of("view", "photo", "order", "slow")),
--- a/node/src/test/java/tansypass/node/UpgradeTest.java
+++ b/node/src/test/java/tansypass/node/UpgradeTest.java
@@ -151,7 +151,7 @@
         HttpFrontend frontend = loop.submit(() -> new HttpFrontend(
                         loop,
                         new DescriptorLimiter(1_024),
-                        Fixture.newStreamMemoryLimiter(),
+                        Fixture.newBufferLimiters(),
                         new ClientRequestParser(config.settings()),
                         new Lifecycle(),
                         new NodeMetrics(List.of()),
--- a/node/src/test/java/tansypass/node/frontend/RateMeasurementTest.java
+++ b/node/src/test/java/tansypass/node/frontend/RateMeasurementTest.java
@@ -10,8 +10,8 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import tansypass.node.http.BlockableChannel;
+import tansypass.node.http.BufferLimiters;
 import tansypass.node.http.ConnectionBufferLimits;
-import tansypass.node.http.StreamMemoryLimiter;
 
 /**
  * Guards against a peer that is judged too slow for a time in which the other side was not ready, only because that
@@ -23,9 +23,7 @@
 
     private final BlockableChannel clientChannel = new BlockableChannel();
     private final ResponseStream response = new ResponseStream(
-            null,
-            new ResponseWriter(null, clientChannel, new StreamMemoryLimiter(DIRECT_MEMORY_BYTES, 1)),
-            UNKNOWN_LENGTH);
+            null, new ResponseWriter(null, clientChannel, new BufferLimiters(DIRECT_MEMORY_BYTES, 1)), UNKNOWN_LENGTH);
 
     @Test
     void serverIsNotTooSlowWhileClientAcceptsNothing() {
--- a/node/src/test/java/tansypass/node/http/StreamWindowTest.java
+++ b/node/src/test/java/tansypass/node/http/StreamWindowTest.java
@@ -31,7 +31,7 @@
     private static final int WRITTEN_BYTES = 16 << 20;
     /** A receive buffer of a fixed size, whose window the kernel does not enlarge while it is read. */
     private static final int RECEIVE_BUFFER_BYTES = 32 * 1024;
-    /** Opens the receiver's window, and is less than a third of the send buffer, at which it is reported as writable. */
+    /** Opens the receiver's window, and is less than the third of the send buffer that makes it writable. */
     private static final int READ_BYTES = 40_000;
 
     private EventLoopGroup group;
--- a/node/src/test/java/tansypass/node/upstream/UpstreamTestBase.java
+++ b/node/src/test/java/tansypass/node/upstream/UpstreamTestBase.java
@@ -20,7 +20,7 @@
 import tansypass.node.FakePeer;
 import tansypass.node.TestEventLoopGroup;
 import tansypass.node.endpoint.EndpointList;
-import tansypass.node.http.StreamMemoryLimiter;
+import tansypass.node.http.BufferLimiters;
 import tansypass.node.http.UpstreamResponse;
 import tansypass.node.lifecycle.DescriptorLimiter;
 import tansypass.platform.EndpointListJsonReader;
@@ -92,7 +92,7 @@
         UpstreamConnectionPool pool = loop.submit(() -> new UpstreamConnectionPool(
                         loop,
                         sockets,
-                        new StreamMemoryLimiter(DIRECT_MEMORY_BYTES, sockets.maxClients()),
+                        new BufferLimiters(DIRECT_MEMORY_BYTES, sockets.maxClients()),
                         connectTimeoutUs,
                         idleUs,
                         quarantineMs))
