Relay a slow response on if its declared length will end it

Cause: after the deadline every response must arrive at 16 KiB/s, so that one without an end gets a final outcome. Whether it can end was not asked.

Change: below that rate a response with a declared length continues while its remainder takes at most 660 s at the measured rate. That can't go on for ever, because the length is known; trickles and responses of unknown length end as before (abortsTricklingResponseSoonAfterItsDeadline is unchanged).

--- a/node/src/main/java/tansypass/node/frontend/ResponseStream.java
+++ b/node/src/main/java/tansypass/node/frontend/ResponseStream.java
@@ -7,8 +7,16 @@
 
 /** A streamed response on its way to the client, with a measurement of its rate. Used on the event loop only. */
 final class ResponseStream implements ResponseBodySink {
+    /**
+     * The longest time for the remainder of a response with a declared length at its present rate: as long as the
+     * longest message takes at 64 kB/s, the rate of the slowest clients.
+     */
+    private static final long MAX_REMAINING_NS = TimeUnit.SECONDS.toNanos(660);
+
     private final Exchange exchange;
     private final ResponseWriter writer;
+    /** The declared length, or -1 if there is none. */
+    private final long declaredLengthBytes;
     /** The declared length or, if that is exceeded or unknown, the number of bytes forwarded so far. */
     private long knownLengthBytes;
 
@@ -27,6 +35,7 @@
     ResponseStream(Exchange exchange, ResponseWriter writer, long lengthBytes) {
         this.exchange = exchange;
         this.writer = writer;
+        declaredLengthBytes = lengthBytes;
         knownLengthBytes = lengthBytes;
     }
 
@@ -81,14 +90,22 @@
 
     /**
      * Returns whether the response has been below the lowest accepted rate since the measurement started although the
-     * client was ready for more all the time, or is over the length limit. Starts the next measurement.
+     * client was ready for more all the time, or is over the length limit. Below that rate, a response with a declared
+     * length may continue if it will end. Starts the next measurement.
      */
     boolean isTooSlowOrTooLong() {
         long elapsedNs = System.nanoTime() - windowStartNs;
+        long receivedBytes = forwardedBytes - windowStartBytes;
         boolean slow = !clientFullInWindow
-                && TimeUnit.SECONDS.toNanos(forwardedBytes - windowStartBytes)
-                        < IncomingRequest.MIN_BYTES_PER_SECOND * elapsedNs;
+                && TimeUnit.SECONDS.toNanos(receivedBytes) < IncomingRequest.MIN_BYTES_PER_SECOND * elapsedNs
+                && !willEnd(receivedBytes, elapsedNs);
         startRateMeasurement();
         return slow || forwardedBytes > RequestHeadValidator.MAX_BODY_BYTES;
     }
+
+    /** Returns whether the remainder of a declared length arrives in a bounded time at the given rate. */
+    private boolean willEnd(long receivedBytes, long elapsedNs) {
+        double remainingBytes = declaredLengthBytes - forwardedBytes;
+        return declaredLengthBytes >= 0 && remainingBytes * elapsedNs <= (double) receivedBytes * MAX_REMAINING_NS;
+    }
 }
