Count a long request's time from when its last byte may have waited unread

Cause: the deadline started when the last byte was read. While the window of the body is full nothing is read, and the last bytes wait in the kernel.

Evidence: bodies that fit into the buffers (400,000 bytes) get their response in time, so neither the timer nor the balancer is late.

Change: UnreadInputEstimator gives the earliest time at which the last byte may have been on the connection: since it was last read until nothing was left, or since the rest fitted into 1 MiB. If it passes first, the client gets 504 and the attempt ends (one owner: ClientConnection.reject).

Measured: the row with a length failed before (read timed out after 1,750 ms), and passes; the row in one chunk passed before as well.

--- a/node/src/main/java/tansypass/node/frontend/ClientConnection.java
+++ b/node/src/main/java/tansypass/node/frontend/ClientConnection.java
@@ -243,6 +243,11 @@
         }
     }
 
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) {
+        reader.onReadComplete();
+    }
+
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext ctx) {
         writer.onWritabilityChanged();
--- a/node/src/main/java/tansypass/node/frontend/ClientConnectionRegistry.java
+++ b/node/src/main/java/tansypass/node/frontend/ClientConnectionRegistry.java
@@ -85,13 +85,18 @@
         sweep();
     }
 
-    /** Closes the connections that have timed out. Clients may connect and never send a complete request. */
+    /**
+     * Closes the connections that have timed out. Clients may connect and never send a complete request, and web
+     * servers may not read one in time.
+     */
     private void sweep() {
         long nowNs = System.nanoTime();
         boolean closingIdle = shouldCloseIdle(nowNs);
         for (ClientConnection connection : new ArrayList<>(connections)) {
             if (connection.timeouts().isOverdue(nowNs)) {
                 connection.reject(new BadRequestException(HttpResponseStatus.REQUEST_TIMEOUT, "no whole request"));
+            } else if (connection.timeouts().isOutOfTime(nowNs)) {
+                connection.reject(new BadRequestException(HttpResponseStatus.GATEWAY_TIMEOUT, "out of time"));
             } else if (closingIdle
                     && (awaitingFirstRequests
                             ? connection.timeouts().isIdleAfterGrace(nowNs)
--- a/node/src/main/java/tansypass/node/frontend/ClientTimeouts.java
+++ b/node/src/main/java/tansypass/node/frontend/ClientTimeouts.java
@@ -101,6 +101,15 @@
         return incoming == null || incoming.isTooSlow(nowNs, channel.config().isAutoRead());
     }
 
+    /**
+     * Returns whether the request being received must get its final response now: its web server reads it so slowly
+     * that the client's time may have run out while the last bytes wait on the connection.
+     */
+    boolean isOutOfTime(long nowNs) {
+        IncomingRequest incoming = connection.reader().incomingOrNull();
+        return incoming != null && !connection.isClosing() && incoming.mayBeOutOfTime(nowNs);
+    }
+
     /** Returns whether no request is in flight and nothing has been received since the last response. */
     boolean isIdle() {
         return connection.hasNoCompleteRequest() && connection.reader().incomingOrNull() == null && !bytesReceived;
--- a/node/src/main/java/tansypass/node/frontend/IncomingRequest.java
+++ b/node/src/main/java/tansypass/node/frontend/IncomingRequest.java
@@ -29,6 +29,7 @@
     private boolean suspendedInWindow;
 
     long receivedBytes;
+    private final UnreadInputEstimator unreadInput = new UnreadInputEstimator();
     private long windowStartBytes;
     private long windowStartNs = System.nanoTime();
 
@@ -55,6 +56,41 @@
     void suspendReading() {
         readingSuspended = true;
         suspendedInWindow = true;
+        unreadInput.onSuspended(receivedBytes, System.nanoTime());
+    }
+
+    /** Records that a part of the body has been received. */
+    void receive(int bytes) {
+        receivedBytes += bytes;
+        if (readingSuspended) {
+            unreadInput.onReceived(receivedBytes, System.nanoTime());
+        }
+    }
+
+    /** Records that the connection has been read until nothing was left. */
+    void onConnectionDrained() {
+        unreadInput.onDrained();
+    }
+
+    /**
+     * Returns the earliest time at which the last byte may have been on the connection.
+     *
+     * @param latestNs the result if it has not waited there for reading to resume
+     */
+    long earliestArrivalNs(long latestNs) {
+        long declaredBytes = exchange == null ? 0 : exchange.request().declaredLengthBytes();
+        return unreadInput.earliestArrivalNs(Math.max(receivedBytes, declaredBytes), latestNs);
+    }
+
+    /**
+     * Returns whether the time of the client may have run out, because the last byte may have waited on the connection
+     * for that long.
+     */
+    boolean mayBeOutOfTime(long nowNs) {
+        return exchange != null
+                && !complete
+                && nowNs - earliestArrivalNs(nowNs)
+                        >= TimeUnit.MICROSECONDS.toNanos(exchange.request().remainingUs());
     }
 
     /**
--- a/node/src/main/java/tansypass/node/frontend/RequestReader.java
+++ b/node/src/main/java/tansypass/node/frontend/RequestReader.java
@@ -117,7 +117,7 @@
     }
 
     private void receiveBody(ByteBuf part) {
-        incoming.receivedBytes += part.readableBytes();
+        incoming.receive(part.readableBytes());
         Exchange exchange = incoming.exchange;
         if (exchange == null) {
             if (incoming.receivedBytes > MAX_DISCARDED_BYTES) {
@@ -153,6 +153,13 @@
         channel.config().setAutoRead(!windowFull);
     }
 
+    /** Records that the channel has been read until nothing was left, unless reading is suspended. */
+    void onReadComplete() {
+        if (incoming != null && incoming.readingSuspended && channel.config().isAutoRead()) {
+            incoming.onConnectionDrained();
+        }
+    }
+
     /**
      * Schedules the processing of a request's end. It comes after everything has been read that the kernel has
      * received on any connection: the request may have waited in the kernel for a long time, and the client's
@@ -194,7 +201,7 @@
         if (completed.exchange != null) {
             boolean dispatched = connection.hasRequestInFlight();
             connection.setRequestInFlight(completed.exchange);
-            completed.exchange.completeRequest(earliestArrivalNs);
+            completed.exchange.completeRequest(completed.earliestArrivalNs(earliestArrivalNs));
             if (!dispatched) {
                 frontend.dispatch(completed.exchange);
             }
--- a/node/src/test/java/tansypass/node/LeftUploadTest.java
+++ b/node/src/test/java/tansypass/node/LeftUploadTest.java
@@ -63,8 +63,8 @@
     }
 
     /**
-     * Guards against a web server that runs a part of a request, whose end was dropped when its client left, and against
-     * a connection to it that stays open because nobody ends the attempt.
+     * Guards against a web server that runs a part of a request, whose end was dropped when its client left, and
+     * against a connection to it that stays open because nobody ends the attempt.
      */
     @ParameterizedTest
     @ValueSource(booleans = {true, false})
--- a/node/src/test/java/tansypass/node/SlowServerDeadlineTest.java
+++ b/node/src/test/java/tansypass/node/SlowServerDeadlineTest.java
@@ -61,4 +61,23 @@
         assertTrue(head.startsWith("HTTP/1.1 200"), head);
         assertEquals(RESPONSE_BYTES, client.getInputStream().readNBytes(RESPONSE_BYTES).length);
     }
+
+    /**
+     * Guards against a final response that comes seconds late, because the last byte of the request waits in the
+     * kernel until the web server has read enough of the others.
+     */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void respondsInTimeToLongRequestThatIsReadSlowly(boolean chunked) throws Exception {
+        String head = formatRequest("POST", "/order?read=64000");
+        String body = "x".repeat(REQUEST_BYTES);
+        FakePeer.write(
+                client,
+                chunked
+                        ? head.replace("Content-Length: 0", "Transfer-Encoding: chunked")
+                                + Integer.toHexString(REQUEST_BYTES) + "\r\n" + body + "\r\n0\r\n\r\n"
+                        : head.replace("Content-Length: 0", "Content-Length: " + REQUEST_BYTES) + body);
+        client.setSoTimeout(LOST_AFTER_MS);
+        assertNotNull(FakePeer.readMessage(client), "closed without a response");
+    }
 }
