--- a/node/src/main/java/tansypass/node/frontend/IncomingRequest.java
+++ b/node/src/main/java/tansypass/node/frontend/IncomingRequest.java
@@ -1,6 +1,7 @@
 package tansypass.node.frontend;
 
 import io.netty.handler.codec.http.HttpRequest;
+import java.util.Iterator;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import tansypass.node.http.BadRequestException;
@@ -29,7 +30,9 @@
     private boolean suspendedInWindow;
 
     long receivedBytes;
-    private final UnreadInputEstimator unreadInput = new UnreadInputEstimator();
+    /** Null until reading has been suspended for the first time. */
+    private UnreadInputEstimator unreadInput;
+
     private long windowStartBytes;
     private long windowStartNs = System.nanoTime();
 
@@ -44,7 +47,9 @@
      */
     int headMemoryBytes() {
         int bytes = head.uri().length();
-        for (Map.Entry<String, String> field : head.headers()) {
+        Iterator<Map.Entry<CharSequence, CharSequence>> fields = head.headers().iteratorCharSequence();
+        while (fields.hasNext()) {
+            Map.Entry<CharSequence, CharSequence> field = fields.next();
             bytes += FIELD_OVERHEAD_BYTES
                     + field.getKey().length()
                     + field.getValue().length();
@@ -56,20 +61,25 @@
     void suspendReading() {
         readingSuspended = true;
         suspendedInWindow = true;
+        if (unreadInput == null) {
+            unreadInput = new UnreadInputEstimator();
+        }
         unreadInput.onSuspended(receivedBytes, System.nanoTime());
     }
 
     /** Records that a part of the body has been received. */
     void receive(int bytes) {
         receivedBytes += bytes;
-        if (readingSuspended) {
+        if (unreadInput != null) {
             unreadInput.onReceived(receivedBytes, System.nanoTime());
         }
     }
 
     /** Records that the connection has been read until nothing was left. */
     void onConnectionDrained() {
-        unreadInput.onDrained();
+        if (unreadInput != null) {
+            unreadInput.onDrained();
+        }
     }
 
     /**
@@ -78,6 +88,9 @@
      * @param latestNs the result if it has not waited there for reading to resume
      */
     long earliestArrivalNs(long latestNs) {
+        if (unreadInput == null) {
+            return latestNs;
+        }
         long declaredBytes = exchange == null ? 0 : exchange.request().declaredLengthBytes();
         return unreadInput.earliestArrivalNs(Math.max(receivedBytes, declaredBytes), latestNs);
     }
--- a/node/src/main/java/tansypass/node/frontend/RequestReader.java
+++ b/node/src/main/java/tansypass/node/frontend/RequestReader.java
@@ -155,7 +155,7 @@
 
     /** Records that the channel has been read until nothing was left, unless reading is suspended. */
     void onReadComplete() {
-        if (incoming != null && incoming.readingSuspended && channel.config().isAutoRead()) {
+        if (incoming != null && channel.config().isAutoRead()) {
             incoming.onConnectionDrained();
         }
     }
