--- a/cli/src/test/java/tansypass/cli/MetricsPageTest.java
+++ b/cli/src/test/java/tansypass/cli/MetricsPageTest.java
@@ -10,11 +10,11 @@
     void exportsNodeMetricsWithLabels() {
         MetricsPage metrics = new MetricsPage(null);
         metrics.apply("node.attempts=1\n");
-        String page = metrics.apply(
-                "node.requests.pitch-detail.served=812\n"
-                        + "node.requests.pitch-detail.refused=3\nnode.attempts=900\nnode.in_flight=14\n"
-                        + "node.aborted.client_stalled=6\n"
-                        + "node.heap_buffer_bytes=4\nnode.direct_memory_bytes=5\nnode.direct_memory_limit_bytes=8\nnode.event_loop_busy_max_ms=7\n");
+        String page = metrics.apply("node.requests.pitch-detail.served=812\n"
+                + "node.requests.pitch-detail.refused=3\nnode.attempts=900\nnode.in_flight=14\n"
+                + "node.aborted.client_stalled=6\n"
+                + "node.heap_buffer_bytes=4\n"
+                + "node.direct_memory_bytes=5\nnode.direct_memory_limit_bytes=8\nnode.event_loop_busy_max_ms=7\n");
         for (String line : List.of(
                 "tansypass_requests_total{class=\"pitch-detail\",outcome=\"served\"} 812.0",
                 "tansypass_requests_total{class=\"pitch-detail\",outcome=\"refused\"} 3.0",
