--- a/node/src/test/java/tansypass/node/http/RequestBodyTest.java
+++ b/node/src/test/java/tansypass/node/http/RequestBodyTest.java
@@ -117,6 +117,7 @@
         body.complete();
         body.close();
         assertFalse(reader.isFullyRead());
+        assertNull(reader.readNextOrNull());
         assertEquals(1, closedCalls);
         body.close();
         assertEquals(1, closedCalls);
